feat(entry): make the operators' page of log lines from the catalogue

What was done: name, level, meaning and fields are data, from which the types of the fields follow; npm run docs writes docs/operators/events.md, and a test compares it (seen failing before the page was written).

--- /dev/null
+++ b/packages/entry/src/fleet/event_page.ts
@@ -0,0 +1,35 @@
+/** Makes the operators' page of log lines from their catalogue. */
+
+import { LOG_EVENTS, type LogEventDescription } from "./log_events.ts";
+
+const HEAD = `# Log lines
+
+Made from \`packages/entry/src/fleet/log_events.ts\` by \`npm run docs\`. Each line
+is a JSON object with \`timestamp\`, \`level\`, \`message\` (the event) and \`vm\`
+besides the fields below. Ages and durations are in milliseconds. How to read
+them: [OPERATIONS.md](../OPERATIONS.md).
+
+| event | level | meaning | fields |
+| --- | --- | --- | --- |
+`;
+
+/**
+ * Builds the page.
+ *
+ * @returns Markdown
+ */
+export function buildEventPage(): string {
+  const rows = Object.entries(LOG_EVENTS).map(([name, event]) =>
+    buildRow(name, event)
+  );
+  return `${HEAD}${rows.join("\n")}\n`;
+}
+
+function buildRow(name: string, event: LogEventDescription): string {
+  const fields = Object.entries(event.fields).map(([field, type]) =>
+    `\`${field}\` (${type})`
+  );
+  return `| \`${name}\` | ${event.level} | ${event.meaning} | ${
+    fields.join(", ")
+  } |`;
+}
--- a/packages/entry/src/fleet/fleet_log.ts
+++ b/packages/entry/src/fleet/fleet_log.ts
@@ -6,7 +6,7 @@
 
 import { BoundedWriter } from "../telemetry/bounded_writer.ts";
 import {
-  LOG_EVENT_LEVEL,
+  LOG_EVENTS,
   type LogEventFields,
   type LogEventName,
   type LogLevel,
@@ -74,7 +74,7 @@
     name: Name,
     fields: LogEventFields[Name],
   ): void {
-    const level = LOG_EVENT_LEVEL[name];
+    const { level } = LOG_EVENTS[name];
     if (!this.#logger.isLevelEnabled(level)) {
       return;
     }
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -1,125 +1,190 @@
-/** The catalogue of log lines. */
+/** The catalogue of log lines; docs/operators/events.md is made from it. */
 
-/** Fields of each line. Ages and durations are in milliseconds. */
-export interface LogEventFields {
+/** Severity of a line. */
+export type LogLevel = "error" | "warn" | "info" | "debug";
+
+interface FieldTypes {
+  readonly "text": string;
+  readonly "number": number;
+  readonly "yes or no": boolean;
+}
+
+/** What one kind of line says. */
+export interface LogEventDescription {
+  readonly level: LogLevel;
+  readonly meaning: string;
+  /** Ages and durations are in milliseconds. */
+  readonly fields: Readonly<Record<string, keyof FieldTypes>>;
+}
+
+/** Each kind of line, with its severity, its meaning and its fields. */
+export const LOG_EVENTS = {
   "started": {
-    readonly caller: string;
-    readonly peer: string;
-    readonly zone: string;
-  };
-  "start-failed": { readonly cause: string };
-  "settings-reloaded": { readonly isValid: boolean };
-  "drain-started": { readonly inFlight: number };
-  "stopped": { readonly inFlight: number };
-  "store-lost": { readonly topic: string; readonly cause: string };
-  "store-regained": { readonly topic: string; readonly failures: number };
+    level: "info",
+    meaning: "the VM listens",
+    fields: { caller: "text", peer: "text", zone: "text" },
+  },
+  "start-failed": {
+    level: "error",
+    meaning: "the process ends, since it could not start",
+    fields: { cause: "text" },
+  },
+  "settings-reloaded": {
+    level: "info",
+    meaning: "the settings were read again; invalid ones are not used",
+    fields: { isValid: "yes or no" },
+  },
+  "drain-started": {
+    level: "info",
+    meaning: "a planned stop began; what is in flight is finished",
+    fields: { inFlight: "number" },
+  },
+  "stopped": {
+    level: "info",
+    meaning: "the process ends; what is in flight is cut",
+    fields: { inFlight: "number" },
+  },
+  "store-lost": {
+    level: "warn",
+    meaning: "calls to the store began to fail",
+    fields: { topic: "text", cause: "text" },
+  },
+  "store-regained": {
+    level: "info",
+    meaning: "the store answers again",
+    fields: { topic: "text", failures: "number" },
+  },
   "record-unreadable": {
-    readonly topic: string;
-    readonly offset: number;
-    readonly cause: string;
-  };
+    level: "warn",
+    meaning: "a record of the store was left out",
+    fields: { topic: "text", offset: "number", cause: "text" },
+  },
   "configuration-in-force": {
-    readonly version: number;
-    readonly offset: number;
-    readonly source: string;
-  };
+    level: "info",
+    meaning: "a configuration decides from now on",
+    fields: { version: "number", offset: "number", source: "text" },
+  },
   "server-announced": {
-    readonly server: string;
-    readonly service: string;
-    readonly state: string;
-    readonly offset: number;
-  };
-  "server-gone": { readonly server: string; readonly offset: number };
+    level: "info",
+    meaning: "a backend server came, or changed its state",
+    fields: {
+      server: "text",
+      service: "text",
+      state: "text",
+      offset: "number",
+    },
+  },
+  "server-gone": {
+    level: "info",
+    meaning: "a backend server is announced no more",
+    fields: { server: "text", offset: "number" },
+  },
   "lead-changed": {
-    readonly zone: string;
-    readonly lead: string;
-    readonly before: string;
-  };
-  "peer-lost": { readonly peer: string; readonly cause: string };
-  "peer-regained": { readonly peer: string };
+    level: "info",
+    meaning: "callers of a zone are told to use other VMs",
+    fields: { zone: "text", lead: "text", before: "text" },
+  },
+  "peer-lost": {
+    level: "warn",
+    meaning: "another VM stopped answering",
+    fields: { peer: "text", cause: "text" },
+  },
+  "peer-regained": {
+    level: "info",
+    meaning: "another VM answers again",
+    fields: { peer: "text" },
+  },
   "request-admitted": {
-    readonly request: string;
-    readonly route: string;
-    readonly service: string;
-    readonly team: string;
-    readonly deadlineInMs: number;
-    readonly configurationVersion: number;
-  };
+    level: "info",
+    meaning: "key, route and limits allow the request",
+    fields: {
+      request: "text",
+      route: "text",
+      service: "text",
+      team: "text",
+      deadlineInMs: "number",
+      configurationVersion: "number",
+    },
+  },
   "request-refused": {
-    readonly request: string;
-    readonly cause: string;
-    readonly outcome: string;
-    readonly status: number;
-    readonly totalMs: number;
-    readonly configurationVersion: number;
-    readonly configurationAgeMs: number;
-  };
+    level: "warn",
+    meaning: "the request ends with an answer of the VM's own",
+    fields: {
+      request: "text",
+      cause: "text",
+      outcome: "text",
+      status: "number",
+      totalMs: "number",
+      configurationVersion: "number",
+      configurationAgeMs: "number",
+    },
+  },
   "request-limited": {
-    readonly request: string;
-    readonly team: string;
-    readonly share: number;
-    readonly demandPerSecond: number;
-    readonly retryAfterMs: number;
-  };
+    level: "warn",
+    meaning: "the team has used what this VM may grant",
+    fields: {
+      request: "text",
+      team: "text",
+      share: "number",
+      demandPerSecond: "number",
+      retryAfterMs: "number",
+    },
+  },
   "request-waits": {
-    readonly request: string;
-    readonly service: string;
-    readonly waiting: number;
-  };
+    level: "info",
+    meaning: "no slot is free, or only at doubtful servers",
+    fields: { request: "text", service: "text", waiting: "number" },
+  },
   "request-placed": {
-    readonly request: string;
-    readonly attempt: number;
-    readonly server: string;
-    readonly failureProbability: number;
-    readonly load: number;
-    readonly slots: number;
-    readonly serversAgeMs: number;
-    readonly waitedMs: number;
-  };
+    level: "info",
+    meaning: "the request is sent to a backend server",
+    fields: {
+      request: "text",
+      attempt: "number",
+      server: "text",
+      failureProbability: "number",
+      load: "number",
+      slots: "number",
+      serversAgeMs: "number",
+      waitedMs: "number",
+    },
+  },
   "attempt-ended": {
-    readonly request: string;
-    readonly server: string;
-    readonly outcome: string;
-    readonly totalMs: number;
-  };
+    level: "info",
+    meaning: "one sending to a backend server has ended",
+    fields: {
+      request: "text",
+      server: "text",
+      outcome: "text",
+      totalMs: "number",
+    },
+  },
   "request-answered": {
-    readonly request: string;
-    readonly status: number;
-    readonly totalMs: number;
-  };
-  "request-abandoned": { readonly request: string; readonly totalMs: number };
-  "lines-dropped": { readonly count: number };
-}
+    level: "info",
+    meaning: "the request ends with a backend server's answer",
+    fields: { request: "text", status: "number", totalMs: "number" },
+  },
+  "request-abandoned": {
+    level: "info",
+    meaning: "the request ends without an answer, as its caller has left",
+    fields: { request: "text", totalMs: "number" },
+  },
+  "lines-dropped": {
+    level: "warn",
+    meaning: "lines beyond the budget, or that the pipe did not take",
+    fields: { count: "number" },
+  },
+} as const satisfies Readonly<Record<string, LogEventDescription>>;
 
 /** Name of a line. */
-export type LogEventName = keyof LogEventFields;
-
-/** Severity of a line. */
-export type LogLevel = "error" | "warn" | "info" | "debug";
+export type LogEventName = keyof typeof LOG_EVENTS;
 
-/** Severity of each line. */
-export const LOG_EVENT_LEVEL: Readonly<Record<LogEventName, LogLevel>> = {
-  "started": "info",
-  "start-failed": "error",
-  "settings-reloaded": "info",
-  "drain-started": "info",
-  "stopped": "info",
-  "store-lost": "warn",
-  "store-regained": "info",
-  "record-unreadable": "warn",
-  "configuration-in-force": "info",
-  "server-announced": "info",
-  "server-gone": "info",
-  "lead-changed": "info",
-  "peer-lost": "warn",
-  "peer-regained": "info",
-  "request-admitted": "info",
-  "request-refused": "warn",
-  "request-limited": "warn",
-  "request-waits": "info",
-  "request-placed": "info",
-  "attempt-ended": "info",
-  "request-answered": "info",
-  "request-abandoned": "info",
-  "lines-dropped": "warn",
+/** Fields of each line. */
+export type LogEventFields = {
+  readonly [Name in LogEventName]: {
+    readonly [Field in keyof typeof LOG_EVENTS[Name]["fields"]]: FieldTypes[
+      & typeof LOG_EVENTS[Name]["fields"][Field]
+      & keyof FieldTypes
+    ];
+  };
 };
