--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -2,8 +2,13 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 
-/** Directory of the program that tests bundle, in the workspace. */
-export const BUNDLE_DIRECTORY = "out/bundle";
+/**
+ * Directory of the program that tests bundle, in the workspace. Each worker of
+ * the test runner has its own, as it must not change while processes start.
+ */
+export const BUNDLE_DIRECTORY = `out/bundle-${
+  process.env["JEST_WORKER_ID"] ?? "0"
+}`;
 
 /** Which VM a process is, and where its settings are. */
 export interface VmProcessOptions {
--- a/packages/standins/src/platform/caller_call.ts
+++ b/packages/standins/src/platform/caller_call.ts
@@ -24,6 +24,8 @@
   readonly id?: string;
   readonly timeLeftMs?: number;
   readonly body?: string;
+  /** When the caller closes its connection; never by default. */
+  readonly leaveAfterMs?: number;
 }
 
 let requestCount = 0;
@@ -71,6 +73,9 @@
     call.on("error", () => {
       resolve({ status: 0, headers: {}, body: "" });
     });
+    if (request.leaveAfterMs !== undefined) {
+      setTimeout(() => call.destroy(), request.leaveAfterMs);
+    }
     call.end(body);
   });
 }
