test(standins): soak real processes through faults from outside

Four VMs of the bundled program, four servers, a store; each link to the store and to a server is a loopback proxy that is cut or stalled; processes are killed, frozen, stopped, all lose power, servers misbehave and leave, the store fails and loses its history. Checked: at most one run, truth of refusals, whole and own answers, nothing unasked, service again within 15 s.

--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -4,7 +4,7 @@
 import * as os from "node:os";
 import * as path from "node:path";
 
-import { formatAddress } from "@limpetford/domain/vm";
+import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 
 import { generateLoopbackHost } from "../loopback_host.ts";
 import {
@@ -14,6 +14,7 @@
   sendCall,
   sendReadinessCall,
 } from "../platform/caller_call.ts";
+import { LoopbackProxy } from "../platform/loopback_proxy.ts";
 import {
   publishConfiguration,
   publishServer,
@@ -34,6 +35,13 @@
   readonly store = new StoreStandin();
   readonly servers: ServerStandin[] = [];
   readonly vms: VmProcessHandle[] = [];
+  /** From each VM to the store. */
+  readonly storeLinks: LoopbackProxy[] = [];
+  /** From all VMs to each backend server. */
+  readonly serverLinks: LoopbackProxy[] = [];
+  readonly #serverAddresses: SocketAddress[] = [];
+  readonly #leaving = new Set<ServerStandin>();
+  #seeds: readonly string[] = [];
   #directory = "";
   #beats: NodeJS.Timeout | undefined;
   #sequence = 0;
@@ -50,6 +58,9 @@
     for (let index = 0; index < counts.servers; index++) {
       const server = new ServerStandin(`i-${index}`);
       await server.start();
+      const link = new LoopbackProxy(server.address);
+      this.#serverAddresses.push(await link.start());
+      this.serverLinks.push(link);
       this.servers.push(server);
     }
     this.#publishServers();
@@ -64,14 +75,11 @@
         zone: `zone-${zone}`,
       }))
     );
-    const seeds = hosts.slice(0, 2).map(({ host }) => `${host}:${PEER_PORT}`);
+    this.#seeds = hosts.slice(0, 2).map(({ host }) => `${host}:${PEER_PORT}`);
     for (const [index, { host, zone }] of hosts.entries()) {
-      await this.#startVm({ id: `vm-${index}`, host, zone, seeds });
+      await this.#startVm({ id: `vm-${index}`, host, zone });
     }
-    await this.waitUntil(async () => {
-      const ready = await Promise.all(this.vms.map((vm) => this.isReady(vm)));
-      return ready.every(Boolean);
-    });
+    await this.waitUntil(() => this.isFleetReady());
   }
 
   /** Ends everything. */
@@ -80,22 +88,48 @@
     for (const vm of this.vms) {
       vm.send("SIGKILL");
     }
+    const links = [...this.storeLinks, ...this.serverLinks];
+    await Promise.all(links.map((link) => link.stop()));
     await this.store.stop();
     await Promise.all(this.servers.map((server) => server.stop()));
     await fs.rm(this.#directory, { recursive: true, force: true });
   }
 
   /**
-   * Stops announcing a backend server, or announces that it leaves.
+   * Announces that a backend server leaves, or that it is back.
    *
    * @param server - the server
+   * @param isLeaving - true if it leaves
    */
-  publishLeaving(server: ServerStandin): void {
-    publishServer(this.store, {
-      server,
-      isLeaving: true,
-      sequence: this.#sequence + 1,
-    });
+  publishLeaving(server: ServerStandin, isLeaving = true): void {
+    if (isLeaving) {
+      this.#leaving.add(server);
+    } else {
+      this.#leaving.delete(server);
+    }
+    this.#publishServers();
+  }
+
+  /**
+   * Starts a VM if it has ended.
+   *
+   * @param vm - the VM
+   */
+  async startAgain(vm: VmProcessHandle): Promise<void> {
+    await this.#writeSettings(vm, { isFirstStart: false });
+    if (!vm.isRunning()) {
+      vm.start();
+    }
+  }
+
+  /**
+   * Asks whether all VMs are ready.
+   *
+   * @returns true if all say so
+   */
+  async isFleetReady(): Promise<boolean> {
+    const ready = await Promise.all(this.vms.map((vm) => this.isReady(vm)));
+    return ready.every(Boolean);
   }
 
   /**
@@ -131,10 +165,7 @@
    */
   async findLead(zone: string): Promise<VmProcessHandle | undefined> {
     for (const vm of this.vms.filter((other) => other.zone === zone)) {
-      const [address] = await this.listAddresses(vm, zone);
-      const lead = this.vms.find((other) =>
-        `${other.host}:${CALLER_PORT}` === address
-      );
+      const lead = await this.findNamedVm(vm, zone);
       if (lead !== undefined) {
         return lead;
       }
@@ -142,6 +173,21 @@
     return undefined;
   }
 
+  /**
+   * Finds the VM that another VM's directory names for a zone.
+   *
+   * @param asked - the VM to ask
+   * @param zone - the zone
+   * @returns the first VM that it names
+   */
+  async findNamedVm(
+    asked: VmProcessHandle,
+    zone: string,
+  ): Promise<VmProcessHandle | undefined> {
+    const [address] = await this.listAddresses(asked, zone);
+    return this.vms.find(({ host }) => `${host}:${CALLER_PORT}` === address);
+  }
+
   /**
    * Sends a request to a VM as a caller.
    *
@@ -180,16 +226,24 @@
   }
 
   async #startVm(
-    vm: {
-      readonly id: string;
-      readonly host: string;
-      readonly zone: string;
-      readonly seeds: readonly string[];
-    },
+    vm: { readonly id: string; readonly host: string; readonly zone: string },
   ): Promise<void> {
+    const link = new LoopbackProxy(this.store.address);
+    this.storeLinks.push(link);
     const settings = path.join(this.#directory, `${vm.id}.yaml`);
+    const store = await link.start();
+    const handle = new VmProcessHandle({ ...vm, settings, store });
+    await this.#writeSettings(handle, { isFirstStart: true });
+    handle.start();
+    this.vms.push(handle);
+  }
+
+  async #writeSettings(
+    vm: VmProcessHandle,
+    start: { readonly isFirstStart: boolean },
+  ): Promise<void> {
     await fs.writeFile(
-      settings,
+      vm.settings,
       JSON.stringify({
         vm: { id: vm.id, zone: vm.zone, region: "r" },
         addresses: {
@@ -198,9 +252,9 @@
           directory: `${vm.host}:${DIRECTORY_PORT}`,
           peer: `${vm.host}:${PEER_PORT}`,
         },
-        store: formatAddress(this.store.address),
-        seeds: vm.seeds,
-        isFirstStart: true,
+        store: formatAddress(vm.store),
+        seeds: this.#seeds,
+        isFirstStart: start.isFirstStart,
         logLevel: "debug",
         bounds: {
           gracePeriodSeconds: 4,
@@ -213,20 +267,20 @@
         },
       }),
     );
-    const { id, host, zone } = vm;
-    const handle = new VmProcessHandle({ id, host, zone, settings });
-    handle.start();
-    this.vms.push(handle);
   }
 
   #publishServers(): void {
     this.#sequence += 1;
-    for (const server of this.servers) {
-      publishServer(this.store, {
-        server,
-        isLeaving: false,
-        sequence: this.#sequence,
-      });
+    for (const [index, server] of this.servers.entries()) {
+      const address = this.#serverAddresses[index];
+      if (address !== undefined) {
+        publishServer(this.store, {
+          id: server.id,
+          address,
+          isLeaving: this.#leaving.has(server),
+          sequence: this.#sequence,
+        });
+      }
     }
   }
 }
--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -2,6 +2,8 @@
 
 import { type ChildProcess, spawn } from "node:child_process";
 
+import type { SocketAddress } from "@limpetford/domain/vm";
+
 /**
  * Directory of the program that tests bundle, in the workspace. Each worker of
  * the test runner has its own, as it must not change while processes start.
@@ -17,6 +19,8 @@
   readonly zone: string;
   /** Path of the settings file. */
   readonly settings: string;
+  /** Where it finds the store. */
+  readonly store: SocketAddress;
 }
 
 /** One process of the fleet, which may be started several times. */
@@ -26,7 +30,8 @@
   readonly zone: string;
   /** What the process has written. */
   log = "";
-  readonly #settings: string;
+  readonly settings: string;
+  readonly store: SocketAddress;
   #child: ChildProcess | undefined;
 
   /**
@@ -38,7 +43,8 @@
     this.id = options.id;
     this.host = options.host;
     this.zone = options.zone;
-    this.#settings = options.settings;
+    this.settings = options.settings;
+    this.store = options.store;
   }
 
   /** Starts the process. */
@@ -47,7 +53,7 @@
       `${BUNDLE_DIRECTORY}/limpetford.js`,
       "fleet",
       "--settings",
-      this.#settings,
+      this.settings,
     ], { stdio: ["ignore", "pipe", "pipe"] });
     const collect = (chunk: Buffer): void => {
       this.log += chunk.toString("utf8");
@@ -73,11 +79,21 @@
    */
   async waitExit(): Promise<number | null> {
     const child = this.#child;
-    if (child?.exitCode !== null) {
+    if (child === undefined || !this.isRunning()) {
       return child?.exitCode ?? null;
     }
     return await new Promise((resolve) => {
       child.once("exit", resolve);
     });
   }
+
+  /**
+   * Checks whether the process has not ended; a frozen one has not.
+   *
+   * @returns true if it is there
+   */
+  isRunning(): boolean {
+    const child = this.#child;
+    return child?.exitCode === null && child.signalCode === null;
+  }
 }
--- a/packages/standins/src/platform/caller_call.ts
+++ b/packages/standins/src/platform/caller_call.ts
@@ -74,7 +74,10 @@
       resolve({ status: 0, headers: {}, body: "" });
     });
     if (request.leaveAfterMs !== undefined) {
-      setTimeout(() => call.destroy(), request.leaveAfterMs);
+      const timer = setTimeout(() => call.destroy(), request.leaveAfterMs);
+      call.on("close", () => {
+        clearTimeout(timer);
+      });
     }
     call.end(body);
   });
--- a/packages/standins/src/platform/published_records.ts
+++ b/packages/standins/src/platform/published_records.ts
@@ -1,12 +1,11 @@
 /** Records that operators and backend servers publish, as they write them. */
 
-import { formatAddress } from "@limpetford/domain/vm";
+import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import {
   CONFIGURATION_KEY,
   TOPIC,
 } from "@limpetford/platform/store/wire_names";
 
-import type { ServerStandin } from "./server_standin.ts";
 import type { StoreStandin } from "./store_standin.ts";
 
 const SERVER_SLOTS = 20;
@@ -66,7 +65,8 @@
 
 /** What a backend server says of itself. */
 export interface PublishedServer {
-  readonly server: ServerStandin;
+  readonly id: string;
+  readonly address: SocketAddress;
   readonly isLeaving: boolean;
   /** Grows with each of the server's records. */
   readonly sequence: number;
@@ -82,10 +82,10 @@
   store: StoreStandin,
   published: PublishedServer,
 ): void {
-  const { server, isLeaving, sequence } = published;
-  store.put(TOPIC.servers, server.id, {
+  const { id, address, isLeaving, sequence } = published;
+  store.put(TOPIC.servers, id, {
     service: "bands",
-    address: formatAddress(server.address),
+    address: formatAddress(address),
     zone: "zone-0",
     version: "v1",
     slots: SERVER_SLOTS,
--- a/packages/standins/src/platform/store_standin.ts
+++ b/packages/standins/src/platform/store_standin.ts
@@ -135,6 +135,13 @@
     stored.records.length = 0;
   }
 
+  /** Deletes the history of all topics. */
+  dropAllHistory(): void {
+    for (const topic of this.#topics.keys()) {
+      this.dropHistory(topic);
+    }
+  }
+
   /**
    * Lists the newest keys of a topic.
    *
--- /dev/null
+++ b/packages/standins/src/process_soak/process_soak_test.ts
@@ -0,0 +1,20 @@
+import { execFileSync } from "node:child_process";
+
+import { BUNDLE_DIRECTORY } from "../fleet/vm_process_handle.ts";
+import { ProcessSoak } from "./process_soak.ts";
+
+// More seeds: npm run soak:processes -- --seed 1 --runs 50
+const SEEDS = [1, 2, 3];
+const LENGTH_MS = 8_000;
+
+describe("a fleet of processes under faults", () => {
+  beforeAll(() => {
+    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+  });
+
+  it.each(SEEDS)("keeps what must hold, seed %i", async (seed) => {
+    const result = await new ProcessSoak({ seed, lengthMs: LENGTH_MS }).run();
+    expect(result.breaches).toEqual([]);
+    expect(result.served).toBeGreaterThan(0);
+  });
+});
