--- a/packages/core/src/placement/server_choice.ts
+++ b/packages/core/src/placement/server_choice.ts
@@ -71,7 +71,8 @@
     return best;
   }
   const failure = best.estimateFailure(context.grayShare, context.nowMs);
-  const isDoubtful = failure > WAIT_ABOVE_FAILURE;
+  const isDoubtful = failure > WAIT_ABOVE_FAILURE &&
+    !(demand.isRepeatable && demand.mayFollowUp);
   const hasBetter = open.some((server) =>
     !server.hasFreeSlot() &&
     server.estimateFailure(context.grayShare, context.nowMs) <
