--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -30,6 +30,11 @@
 const POLL_MS = 50;
 const DEFAULT_TIMEOUT_MS = 15_000;
 
+/** Settings that all processes of a fleet share. */
+export interface FleetProcessesOptions {
+  readonly logLevel: "error" | "warn" | "info" | "debug";
+}
+
 /** Starts, observes and ends the processes of a fleet. */
 export class FleetProcesses {
   readonly store = new StoreStandin();
@@ -39,6 +44,7 @@
   readonly storeLinks: LoopbackProxy[] = [];
   /** From all VMs to each backend server. */
   readonly serverLinks: LoopbackProxy[] = [];
+  readonly #options: FleetProcessesOptions;
   readonly #serverAddresses: SocketAddress[] = [];
   readonly #leaving = new Set<ServerStandin>();
   #seeds: readonly string[] = [];
@@ -46,6 +52,15 @@
   #beats: NodeJS.Timeout | undefined;
   #sequence = 0;
 
+  /**
+   * Prepares a fleet.
+   *
+   * @param options - severity from which its processes write lines
+   */
+  constructor(options: FleetProcessesOptions = { logLevel: "debug" }) {
+    this.#options = options;
+  }
+
   /**
    * Starts stand-ins and processes, and waits until all are ready.
    *
@@ -255,7 +270,7 @@
         store: formatAddress(vm.store),
         seeds: this.#seeds,
         isFirstStart: start.isFirstStart,
-        logLevel: "debug",
+        logLevel: this.#options.logLevel,
         bounds: {
           gracePeriodSeconds: 4,
           revocationSeconds: 5,
--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -47,6 +47,18 @@
     this.store = options.store;
   }
 
+  /**
+   * Identifier of the process.
+   *
+   * @returns the current value
+   */
+  get processId(): number {
+    if (this.#child?.pid === undefined) {
+      throw new Error(`${this.id} has not been started`);
+    }
+    return this.#child.pid;
+  }
+
   /** Starts the process. */
   start(): void {
     const child = spawn(process.execPath, [
--- a/packages/standins/src/measure/measure_main.ts
+++ b/packages/standins/src/measure/measure_main.ts
@@ -3,6 +3,7 @@
 import { Cli } from "clipanion";
 
 import { GrayCommand } from "./gray/gray_command.ts";
+import { LoggingCommand } from "./logging/logging_command.ts";
 import { TogetherCommand } from "./together/together_command.ts";
 
 const cli = new Cli({
@@ -10,5 +11,6 @@
   binaryName: "npm run measure --",
 });
 cli.register(GrayCommand);
+cli.register(LoggingCommand);
 cli.register(TogetherCommand);
 process.exitCode = await cli.run(process.argv.slice(2), Cli.defaultContext);
