test(standins): judge planned stops and one-way links in the soak

Soak: a process that is asked to stop and is not frozen must be gone within its grace period and 1 s; a link may pass on questions and no answers.

--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -27,6 +27,8 @@
 const READY_PORT = 18_002;
 const DIRECTORY_PORT = 18_003;
 const PEER_PORT = 18_004;
+/** In which a process that is asked to stop has ended. */
+export const GRACE_PERIOD_SECONDS = 4;
 const POLL_MS = 50;
 const DEFAULT_TIMEOUT_MS = 15_000;
 
@@ -272,7 +274,7 @@
         isFirstStart: start.isFirstStart,
         logLevel: this.#options.logLevel,
         bounds: {
-          gracePeriodSeconds: 4,
+          gracePeriodSeconds: GRACE_PERIOD_SECONDS,
           revocationSeconds: 5,
           configurationSeconds: 2,
           drainSeconds: 2,
--- a/packages/standins/src/platform/loopback_proxy.ts
+++ b/packages/standins/src/platform/loopback_proxy.ts
@@ -11,6 +11,8 @@
   cut: "cut",
   /** Passes nothing on, in either direction. */
   stalled: "stalled",
+  /** Passes on what is asked and no answer. */
+  oneWay: "one-way",
 } as const;
 /** How a link misbehaves. */
 export type LinkFault = typeof LINK_FAULT[keyof typeof LINK_FAULT];
@@ -100,13 +102,9 @@
   }
 
   #applyFault({ near, far }: ProxiedPair): void {
-    for (const socket of [near, far]) {
-      if (this.#fault === LINK_FAULT.stalled) {
-        socket.pause();
-      } else {
-        socket.resume();
-      }
-    }
+    const isStalled = this.#fault === LINK_FAULT.stalled;
+    setPaused(near, isStalled);
+    setPaused(far, isStalled || this.#fault === LINK_FAULT.oneWay);
   }
 
   #clearPairs(): void {
@@ -117,3 +115,11 @@
     this.#pairs.clear();
   }
 }
+
+function setPaused(socket: net.Socket, isPaused: boolean): void {
+  if (isPaused) {
+    socket.pause();
+  } else {
+    socket.resume();
+  }
+}
--- a/packages/standins/src/process_soak/process_soak.ts
+++ b/packages/standins/src/process_soak/process_soak.ts
@@ -3,7 +3,10 @@
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 import { WIRE_HEADER } from "@limpetford/platform/store/wire_names";
 
-import { FleetProcesses } from "../fleet/fleet_processes.ts";
+import {
+  FleetProcesses,
+  GRACE_PERIOD_SECONDS,
+} from "../fleet/fleet_processes.ts";
 import type { VmProcessHandle } from "../fleet/vm_process_handle.ts";
 import { LINK_FAULT } from "../platform/loopback_proxy.ts";
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
@@ -29,6 +32,8 @@
 const TIME_LEFT_MS = 2_000;
 /** Time that a caller gives a VM that answers nothing. */
 const LEAVE_AFTER_MS = TIME_LEFT_MS + 500;
+/** For the end of the process itself, on a busy machine. */
+const EXIT_MARGIN_MS = 1_000;
 const RECOVERY_LIMIT_MS = 15_000;
 const PROBES_AFTER = 20;
 
@@ -55,6 +60,7 @@
   readonly #random: SeededRandomSource;
   readonly #sent: SentRequest[] = [];
   readonly #breaches: string[] = [];
+  readonly #frozen = new Set<VmProcessHandle>();
 
   /**
    * Prepares a run.
@@ -178,8 +184,7 @@
       case "power-loss":
         return this.#stopVms(vms, "SIGKILL");
       case "freeze":
-        vms[fault.vm]?.send("SIGSTOP");
-        return () => vms[fault.vm]?.send("SIGCONT");
+        return this.#stopForAWhile(vms[fault.vm]);
       case "store":
         store.fault = fault.fault;
         return () => {
@@ -229,9 +234,13 @@
     vms: readonly (VmProcessHandle | undefined)[],
     signal: NodeJS.Signals,
   ): () => Promise<void> {
+    const startedAtMs = Date.now();
     const ending = vms.filter((vm) => vm !== undefined).map((vm) => {
       vm.send(signal);
-      return { vm, exited: vm.waitExit() };
+      const exited = vm.waitExit().then(() => {
+        this.#checkGracePeriod(vm, Date.now() - startedAtMs);
+      });
+      return { vm, exited };
     });
     return async () => {
       for (const { vm, exited } of ending) {
@@ -243,6 +252,25 @@
     };
   }
 
+  #stopForAWhile(vm: VmProcessHandle | undefined): () => void {
+    if (vm === undefined) {
+      return () => undefined;
+    }
+    this.#frozen.add(vm);
+    vm.send("SIGSTOP");
+    return () => {
+      vm.send("SIGCONT");
+    };
+  }
+
+  // A process that was frozen meanwhile is not judged.
+  #checkGracePeriod(vm: VmProcessHandle, tookMs: number): void {
+    const limitMs = GRACE_PERIOD_SECONDS * 1_000 + EXIT_MARGIN_MS;
+    if (tookMs > limitMs && !this.#frozen.has(vm)) {
+      this.#breaches.push(`${vm.id} took ${tookMs} ms to stop`);
+    }
+  }
+
   async #checkRecovery(): Promise<void> {
     const startedAtMs = Date.now();
     for (const vm of this.#fleet.vms) {
