--- /dev/null
+++ b/packages/standins/src/process_soak/fault_player.ts
@@ -0,0 +1,142 @@
+/** Applies faults to a fleet of processes and mends them. */
+
+import {
+  type FleetProcesses,
+  GRACE_PERIOD_SECONDS,
+} from "../fleet/fleet_processes.ts";
+import type { VmProcessHandle } from "../fleet/vm_process_handle.ts";
+import { LINK_FAULT } from "../platform/loopback_proxy.ts";
+import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
+import { STORE_FAULT } from "../platform/store_standin.ts";
+import type { ProcessFault, ScheduledFault } from "./process_fault.ts";
+import { waitMs } from "./wait_ms.ts";
+
+/** For the end of the process itself, on a busy machine. */
+const EXIT_MARGIN_MS = 1_000;
+
+/** Plays the faults of a schedule, which may overlap. */
+export class FaultPlayer {
+  /** Planned stops that took longer than the grace period. */
+  readonly breaches: string[] = [];
+  readonly #fleet: FleetProcesses;
+  readonly #frozen = new Set<VmProcessHandle>();
+
+  /**
+   * Prepares to play.
+   *
+   * @param fleet - the fleet
+   */
+  constructor(fleet: FleetProcesses) {
+    this.#fleet = fleet;
+  }
+
+  /**
+   * Waits for a fault's time, applies it, and mends it.
+   *
+   * @param scheduled - the fault and its times
+   */
+  async run({ atMs, forMs, fault }: ScheduledFault): Promise<void> {
+    await waitMs(atMs);
+    const mend = this.#applyFault(fault);
+    await waitMs(forMs);
+    await mend();
+  }
+
+  // Returns what mends the fault.
+  #applyFault(fault: ProcessFault): () => Promise<void> | void {
+    const { vms, store, storeLinks } = this.#fleet;
+    switch (fault.kind) {
+      case "kill":
+        return this.#stopVms([vms[fault.vm]], "SIGKILL");
+      case "planned-stop":
+        return this.#stopVms([vms[fault.vm]], "SIGTERM");
+      case "power-loss":
+        return this.#stopVms(vms, "SIGKILL");
+      case "freeze":
+        return this.#stopForAWhile(vms[fault.vm]);
+      case "store":
+        store.fault = fault.fault;
+        return () => {
+          store.fault = STORE_FAULT.none;
+        };
+      case "history-dropped":
+        store.dropAllHistory();
+        return () => undefined;
+      case "store-link":
+        storeLinks[fault.vm]?.setFault(fault.fault);
+        return () => storeLinks[fault.vm]?.setFault(LINK_FAULT.none);
+      case "server":
+      case "server-link":
+      case "server-leaves":
+        return this.#applyServerFault(fault);
+    }
+  }
+
+  #applyServerFault(
+    fault: Extract<ProcessFault, { readonly server: number }>,
+  ): () => void {
+    const server = this.#fleet.servers[fault.server];
+    const link = this.#fleet.serverLinks[fault.server];
+    if (server === undefined || link === undefined) {
+      throw new Error(`there is no server ${fault.server}`);
+    }
+    switch (fault.kind) {
+      case "server":
+        server.behavior = fault.behavior;
+        return () => {
+          server.behavior = SERVER_BEHAVIOR.answer;
+        };
+      case "server-link":
+        link.setFault(fault.fault);
+        return () => {
+          link.setFault(LINK_FAULT.none);
+        };
+      case "server-leaves":
+        this.#fleet.publishLeaving(server);
+        return () => {
+          this.#fleet.publishLeaving(server, false);
+        };
+    }
+  }
+
+  #stopVms(
+    vms: readonly (VmProcessHandle | undefined)[],
+    signal: NodeJS.Signals,
+  ): () => Promise<void> {
+    const startedAtMs = Date.now();
+    const ending = vms.filter((vm) => vm !== undefined).map((vm) => {
+      vm.send(signal);
+      const exited = vm.waitExit().then(() => {
+        this.#checkGracePeriod(vm, Date.now() - startedAtMs);
+      });
+      return { vm, exited };
+    });
+    return async () => {
+      for (const { vm, exited } of ending) {
+        // A frozen process ends once it goes on.
+        vm.send("SIGCONT");
+        await exited;
+        await this.#fleet.startAgain(vm);
+      }
+    };
+  }
+
+  #stopForAWhile(vm: VmProcessHandle | undefined): () => void {
+    if (vm === undefined) {
+      return () => undefined;
+    }
+    this.#frozen.add(vm);
+    vm.send("SIGSTOP");
+    return () => {
+      vm.send("SIGCONT");
+    };
+  }
+
+  // A process that was frozen meanwhile is not judged.
+  #checkGracePeriod(vm: VmProcessHandle, tookMs: number): void {
+    const limitMs = GRACE_PERIOD_SECONDS * 1_000 + EXIT_MARGIN_MS;
+    if (tookMs > limitMs && !this.#frozen.has(vm)) {
+      this.breaches.push(`${vm.id} took ${tookMs} ms to stop`);
+    }
+  }
+}
--- a/packages/standins/src/process_soak/process_soak.ts
+++ b/packages/standins/src/process_soak/process_soak.ts
@@ -3,24 +3,16 @@
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 import { WIRE_HEADER } from "@limpetford/platform/store/wire_names";
 
-import {
-  FleetProcesses,
-  GRACE_PERIOD_SECONDS,
-} from "../fleet/fleet_processes.ts";
+import { FleetProcesses } from "../fleet/fleet_processes.ts";
 import type { VmProcessHandle } from "../fleet/vm_process_handle.ts";
-import { LINK_FAULT } from "../platform/loopback_proxy.ts";
-import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
-import { STORE_FAULT } from "../platform/store_standin.ts";
-import {
-  generateSchedule,
-  type ProcessFault,
-  type ScheduledFault,
-} from "./process_fault.ts";
+import { FaultPlayer } from "./fault_player.ts";
+import { generateSchedule, type ScheduledFault } from "./process_fault.ts";
 import {
   findBreaches,
   type RequestRun,
   type SentRequest,
 } from "./soak_checks.ts";
+import { waitMs } from "./wait_ms.ts";
 
 const ZONES = [2, 2] as const;
 const SERVER_COUNT = 4;
@@ -32,8 +24,6 @@
 const TIME_LEFT_MS = 2_000;
 /** Time that a caller gives a VM that answers nothing. */
 const LEAVE_AFTER_MS = TIME_LEFT_MS + 500;
-/** For the end of the process itself, on a busy machine. */
-const EXIT_MARGIN_MS = 1_000;
 const RECOVERY_LIMIT_MS = 15_000;
 const PROBES_AFTER = 20;
 
@@ -60,7 +50,7 @@
   readonly #random: SeededRandomSource;
   readonly #sent: SentRequest[] = [];
   readonly #breaches: string[] = [];
-  readonly #frozen = new Set<VmProcessHandle>();
+  readonly #player = new FaultPlayer(this.#fleet);
 
   /**
    * Prepares a run.
@@ -92,7 +82,7 @@
       }
       await Promise.all([
         this.#sendRequests(lengthMs),
-        ...faults.map((scheduled) => this.#runFault(scheduled)),
+        ...faults.map((scheduled) => this.#player.run(scheduled)),
       ]);
       await this.#checkRecovery();
     } finally {
@@ -105,6 +95,7 @@
         .length,
       breaches: [
         ...this.#breaches,
+        ...this.#player.breaches,
         ...findBreaches({ sent: this.#sent, runs: this.#listRuns() }),
       ],
       logs: this.#fleet.vms.map(({ log }) => log),
@@ -166,111 +157,6 @@
     return undefined;
   }
 
-  async #runFault({ atMs, forMs, fault }: ScheduledFault): Promise<void> {
-    await waitMs(atMs);
-    const mend = this.#applyFault(fault);
-    await waitMs(forMs);
-    await mend();
-  }
-
-  // Returns what mends the fault.
-  #applyFault(fault: ProcessFault): () => Promise<void> | void {
-    const { vms, store, storeLinks } = this.#fleet;
-    switch (fault.kind) {
-      case "kill":
-        return this.#stopVms([vms[fault.vm]], "SIGKILL");
-      case "planned-stop":
-        return this.#stopVms([vms[fault.vm]], "SIGTERM");
-      case "power-loss":
-        return this.#stopVms(vms, "SIGKILL");
-      case "freeze":
-        return this.#stopForAWhile(vms[fault.vm]);
-      case "store":
-        store.fault = fault.fault;
-        return () => {
-          store.fault = STORE_FAULT.none;
-        };
-      case "history-dropped":
-        store.dropAllHistory();
-        return () => undefined;
-      case "store-link":
-        storeLinks[fault.vm]?.setFault(fault.fault);
-        return () => storeLinks[fault.vm]?.setFault(LINK_FAULT.none);
-      case "server":
-      case "server-link":
-      case "server-leaves":
-        return this.#applyServerFault(fault);
-    }
-  }
-
-  #applyServerFault(
-    fault: Extract<ProcessFault, { readonly server: number }>,
-  ): () => void {
-    const server = this.#fleet.servers[fault.server];
-    const link = this.#fleet.serverLinks[fault.server];
-    if (server === undefined || link === undefined) {
-      throw new Error(`there is no server ${fault.server}`);
-    }
-    switch (fault.kind) {
-      case "server":
-        server.behavior = fault.behavior;
-        return () => {
-          server.behavior = SERVER_BEHAVIOR.answer;
-        };
-      case "server-link":
-        link.setFault(fault.fault);
-        return () => {
-          link.setFault(LINK_FAULT.none);
-        };
-      case "server-leaves":
-        this.#fleet.publishLeaving(server);
-        return () => {
-          this.#fleet.publishLeaving(server, false);
-        };
-    }
-  }
-
-  #stopVms(
-    vms: readonly (VmProcessHandle | undefined)[],
-    signal: NodeJS.Signals,
-  ): () => Promise<void> {
-    const startedAtMs = Date.now();
-    const ending = vms.filter((vm) => vm !== undefined).map((vm) => {
-      vm.send(signal);
-      const exited = vm.waitExit().then(() => {
-        this.#checkGracePeriod(vm, Date.now() - startedAtMs);
-      });
-      return { vm, exited };
-    });
-    return async () => {
-      for (const { vm, exited } of ending) {
-        // A frozen process ends once it goes on.
-        vm.send("SIGCONT");
-        await exited;
-        await this.#fleet.startAgain(vm);
-      }
-    };
-  }
-
-  #stopForAWhile(vm: VmProcessHandle | undefined): () => void {
-    if (vm === undefined) {
-      return () => undefined;
-    }
-    this.#frozen.add(vm);
-    vm.send("SIGSTOP");
-    return () => {
-      vm.send("SIGCONT");
-    };
-  }
-
-  // A process that was frozen meanwhile is not judged.
-  #checkGracePeriod(vm: VmProcessHandle, tookMs: number): void {
-    const limitMs = GRACE_PERIOD_SECONDS * 1_000 + EXIT_MARGIN_MS;
-    if (tookMs > limitMs && !this.#frozen.has(vm)) {
-      this.#breaches.push(`${vm.id} took ${tookMs} ms to stop`);
-    }
-  }
-
   async #checkRecovery(): Promise<void> {
     const startedAtMs = Date.now();
     for (const vm of this.#fleet.vms) {
@@ -297,7 +183,3 @@
     );
   }
 }
-
-async function waitMs(milliseconds: number): Promise<void> {
-  await new Promise((resolve) => setTimeout(resolve, milliseconds));
-}
