fix(entry): let a process exit whose caller's connection was broken while ending

Cause: a whole run of the soak's test hung after all its tests had passed, with the processor busy, in 3 of about 30 runs. Traced with a profile of the hung process: node::FreeEnvironment, CleanupHandles, uv_run, no JavaScript. Node 20 never closes the handle of a socket that is reset while its orderly end is under way (EINVAL), and spins for it at exit; ten lines show it: end(), resetAndDestroy(), destroy(). Ruled out: timers, open connections, pipes of children (none left). Test: seen failing with resetAndDestroy (10 s, killed), passes in 0.24 s.

--- a/packages/entry/src/serving/answer_sink.ts
+++ b/packages/entry/src/serving/answer_sink.ts
@@ -3,6 +3,8 @@
 import type { ServerResponse } from "node:http";
 import { TLSSocket } from "node:tls";
 
+import { resetSocket } from "../http/reset_socket.ts";
+
 /**
  * Writes one answer to a caller: whole, or visibly broken.
  */
@@ -74,7 +76,7 @@
       // Without a closing alert, TLS shows the cut by itself.
       this.#response.destroy();
     } else {
-      socket.resetAndDestroy();
+      resetSocket(socket);
     }
   }
 
--- a/packages/standins/src/platform/loopback_proxy.ts
+++ b/packages/standins/src/platform/loopback_proxy.ts
@@ -3,6 +3,7 @@
 import * as net from "node:net";
 
 import type { SocketAddress } from "@limpetford/domain/vm";
+import { resetSocket } from "@limpetford/entry/http/reset_socket";
 
 /** How a link misbehaves. */
 export const LINK_FAULT = {
@@ -77,7 +78,7 @@
 
   #connect(near: net.Socket): void {
     if (this.#fault === LINK_FAULT.cut) {
-      near.resetAndDestroy();
+      resetSocket(near);
       return;
     }
     const far = net.connect(this.#target);
@@ -93,7 +94,7 @@
   // A reset on one side must not look like an orderly end on the other.
   #passEnd(pair: ProxiedPair, from: net.Socket, to: net.Socket): void {
     from.on("error", () => {
-      to.resetAndDestroy();
+      resetSocket(to);
     });
     from.on("close", () => {
       this.#pairs.delete(pair);
@@ -109,8 +110,8 @@
 
   #clearPairs(): void {
     for (const { near, far } of this.#pairs) {
-      near.resetAndDestroy();
-      far.resetAndDestroy();
+      resetSocket(near);
+      resetSocket(far);
     }
     this.#pairs.clear();
   }
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from "node:net";
 
 import type { SocketAddress } from "@limpetford/domain/vm";
+import { resetSocket } from "@limpetford/entry/http/reset_socket";
 
 const STATUS_OK = 200;
 const STATUS_MISDIRECTED = 421;
@@ -161,7 +162,7 @@
       case "hang":
         break;
       case "reset":
-        request.socket.resetAndDestroy();
+        resetSocket(request.socket);
         break;
       case "cut":
         response.writeHead(STATUS_OK, {
@@ -169,7 +170,9 @@
           "content-length": body.length,
         });
         response.write(body.slice(0, body.length / 2));
-        setTimeout(() => request.socket.resetAndDestroy(), 20);
+        setTimeout(() => {
+          resetSocket(request.socket);
+        }, 20);
         break;
       case "unframed":
         request.socket.end(
@@ -186,7 +189,9 @@
               .join("") +
             `\r\n${body.slice(0, body.length / 2)}`,
         );
-        setTimeout(() => request.socket.resetAndDestroy(), 20);
+        setTimeout(() => {
+          resetSocket(request.socket);
+        }, 20);
         break;
       case "crossed":
         response.writeHead(STATUS_OK, { ...head, "request-id": "another" });
