--- a/packages/standins/src/fleet/fleet_path_test.ts
+++ b/packages/standins/src/fleet/fleet_path_test.ts
@@ -1,7 +1,6 @@
 import { execFileSync } from "node:child_process";
 
-import { WIRE_HEADER } from "@limpetford/platform/store/wire_names";
-
+import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { publishConfiguration } from "../platform/published_records.ts";
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
 import { STORE_FAULT } from "../platform/store_standin.ts";
@@ -45,20 +44,22 @@
       body: "deposit",
     });
     expect(answer.status).toBe(200);
-    expect(answer.headers[WIRE_HEADER.signature]).toMatch(/^signed-by-/);
-    expect(answer.headers[WIRE_HEADER.requestId]).toBe("r1");
+    expect(answer.headers[PROTOCOL_HEADER.signature]).toMatch(/^signed-by-/);
+    expect(answer.headers[PROTOCOL_HEADER.requestId]).toBe("r1");
     const [served] = fleet.servers.flatMap((server) => server.served);
     expect(served).toMatchObject({
       method: "POST",
       target: "/book/1?x=2",
       body: "deposit",
       headers: {
-        [WIRE_HEADER.requestId]: "r1",
-        [WIRE_HEADER.team]: "dance",
+        [PROTOCOL_HEADER.requestId]: "r1",
+        [PROTOCOL_HEADER.team]: "dance",
       },
     });
-    expect(served?.headers[WIRE_HEADER.callerKey]).toBeUndefined();
-    expect(Number(served?.headers[WIRE_HEADER.timeLeftMs])).toBeLessThan(3_001);
+    expect(served?.headers[PROTOCOL_HEADER.callerKey]).toBeUndefined();
+    expect(Number(served?.headers[PROTOCOL_HEADER.timeLeftMs])).toBeLessThan(
+      3_001,
+    );
   });
 
   const refusals = [
--- a/packages/standins/src/platform/caller_call.ts
+++ b/packages/standins/src/platform/caller_call.ts
@@ -3,7 +3,8 @@
 import * as http from "node:http";
 
 import type { SocketAddress } from "@limpetford/domain/vm";
-import { VM_CALL, WIRE_HEADER } from "@limpetford/platform/store/wire_names";
+
+import { PROTOCOL_CALL, PROTOCOL_HEADER } from "./protocol_names.ts";
 
 const STATUS_OK = 200;
 
@@ -52,11 +53,11 @@
       agent: false,
       headers: {
         host: request.host ?? "bands.example",
-        [WIRE_HEADER.requestId]: request.id ?? `request-${requestCount}`,
-        [WIRE_HEADER.timeLeftMs]: request.timeLeftMs ?? 3_000,
+        [PROTOCOL_HEADER.requestId]: request.id ?? `request-${requestCount}`,
+        [PROTOCOL_HEADER.timeLeftMs]: request.timeLeftMs ?? 3_000,
         ...request.key === undefined
           ? {}
-          : { [WIRE_HEADER.callerKey]: request.key },
+          : { [PROTOCOL_HEADER.callerKey]: request.key },
         ...body === "" ? {} : { "content-length": Buffer.byteLength(body) },
       },
     }, (response) => {
@@ -92,7 +93,7 @@
 export async function sendReadinessCall(
   address: SocketAddress,
 ): Promise<boolean> {
-  const answer = await sendCall(address, { path: VM_CALL.readiness });
+  const answer = await sendCall(address, { path: PROTOCOL_CALL.readiness });
   return answer.status === STATUS_OK;
 }
 
@@ -108,7 +109,7 @@
   zone: string,
 ): Promise<readonly string[]> {
   const query = `name=bands.example&region=r&zone=${zone}`;
-  const path = `${VM_CALL.directory}?${query}`;
+  const path = `${PROTOCOL_CALL.directory}?${query}`;
   const answer = await sendCall(address, { path });
   if (answer.status !== STATUS_OK) {
     return [];
--- a/packages/standins/src/platform/published_records.ts
+++ b/packages/standins/src/platform/published_records.ts
@@ -1,11 +1,8 @@
 /** Records that operators and backend servers publish, as they write them. */
 
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
-import {
-  CONFIGURATION_KEY,
-  TOPIC,
-} from "@limpetford/platform/store/wire_names";
 
+import { PROTOCOL_TOPIC } from "./protocol_names.ts";
 import type { StoreStandin } from "./store_standin.ts";
 
 const SERVER_SLOTS = 20;
@@ -46,7 +43,7 @@
     open: { ...route, path_prefix: "/open/", kind: "safe", public: true },
   };
   const key = changes.key ?? "key-of-dance";
-  store.put(TOPIC.operators, CONFIGURATION_KEY, {
+  store.put(PROTOCOL_TOPIC.operators, PROTOCOL_TOPIC.configurationKey, {
     version,
     routes: changes.hasRoutes === false ? {} : routes,
     services: { bands: { health_path: "/health", connection_limit: 100 } },
@@ -83,7 +80,7 @@
   published: PublishedServer,
 ): void {
   const { id, address, isLeaving, sequence } = published;
-  store.put(TOPIC.servers, id, {
+  store.put(PROTOCOL_TOPIC.servers, id, {
     service: "bands",
     address: formatAddress(address),
     zone: "zone-0",
--- a/packages/standins/src/process_soak/process_soak.ts
+++ b/packages/standins/src/process_soak/process_soak.ts
@@ -1,10 +1,10 @@
 /** Runs a fleet of processes through a schedule of faults. */
 
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
-import { WIRE_HEADER } from "@limpetford/platform/store/wire_names";
 
 import { FleetProcesses } from "../fleet/fleet_processes.ts";
 import type { VmProcessHandle } from "../fleet/vm_process_handle.ts";
+import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { FaultPlayer } from "./fault_player.ts";
 import { generateSchedule, type ScheduledFault } from "./process_fault.ts";
 import {
@@ -134,7 +134,7 @@
       leaveAfterMs: LEAVE_AFTER_MS,
       ...isRepeatable ? {} : { body: "deposit" },
     });
-    const answeredId = answer?.headers[WIRE_HEADER.requestId];
+    const answeredId = answer?.headers[PROTOCOL_HEADER.requestId];
     this.#sent[index] = {
       ...request,
       answer,
@@ -177,7 +177,7 @@
   #listRuns(): readonly RequestRun[] {
     return this.#fleet.servers.flatMap((server) =>
       server.served.filter(({ hasRun }) => hasRun).map((run) => ({
-        id: String(run.headers[WIRE_HEADER.requestId]),
+        id: String(run.headers[PROTOCOL_HEADER.requestId]),
         target: run.target,
       }))
     );
