--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -77,6 +77,9 @@
       const server = new ServerStandin(`i-${index}`);
       await server.start();
       const link = new TcpFaultProxy(server.address);
+      server.outageListener = (isDown): void => {
+        link.setRefusing(isDown);
+      };
       this.#serverAddresses.push(await link.start());
       this.serverLinks.push(link);
       this.servers.push(server);
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -44,6 +44,18 @@
   readonly body: string;
   /** False if the request was shed or addressed to another server. */
   readonly hasRun: boolean;
+  /** Wall-clock time at which it was read to its end, in milliseconds. */
+  readonly receivedAtMs: number;
+}
+
+/** Requests that crash the server, and how long a crash lasts. */
+export interface CrashBehavior {
+  /** Checks whether a request that begins to run crashes the server. */
+  readonly isCrashing: (request: ReceivedRequest) => boolean;
+  /** Time from the start of the run to the crash, in milliseconds. */
+  readonly delayMs: number;
+  /** Time from the crash until the server listens again, in milliseconds. */
+  readonly downMs: number;
 }
 
 /** Records received requests and responds as its current behavior says. */
@@ -53,11 +65,19 @@
   behavior: ServerBehavior = SERVER_BEHAVIOR.answer;
   /** Processing time of each request, in milliseconds. */
   processingMs = 0;
+  /** Requests that crash the server; undefined if none does. */
+  crashBehavior: CrashBehavior | undefined;
+  /** Called when the server goes down in a crash and when it is back. */
+  outageListener: ((isDown: boolean) => void) | undefined;
+  /** Wall-clock times of the crashes so far, in milliseconds. */
+  readonly crashedAtMs: number[] = [];
   readonly #sockets = new Set<Socket>();
   readonly #server = http.createServer((request, response) => {
     void this.#handleRequest(request, response);
   });
   #address: SocketAddress | undefined;
+  #isDown = false;
+  #isStopped = false;
 
   /**
    * Creates a server that does not listen yet.
@@ -105,6 +125,7 @@
 
   /** Stops listening and closes all connections. */
   async stop(): Promise<void> {
+    this.#isStopped = true;
     const closed = new Promise((resolve) => this.#server.close(resolve));
     for (const socket of this.#sockets) {
       socket.destroy();
@@ -112,6 +133,36 @@
     await closed;
   }
 
+  /**
+   * Crashes the server: resets all connections and refuses new ones.
+   *
+   * @param downMs - time until the server listens again, in milliseconds
+   */
+  crash(downMs: number): void {
+    if (this.#isDown || this.#isStopped) {
+      return;
+    }
+    this.#isDown = true;
+    this.crashedAtMs.push(Date.now());
+    this.#server.close();
+    this.outageListener?.(true);
+    for (const socket of this.#sockets) {
+      resetSocket(socket);
+    }
+    setTimeout(() => {
+      this.#restart();
+    }, downMs);
+  }
+
+  #restart(): void {
+    this.#isDown = false;
+    if (!this.#isStopped) {
+      this.#server.listen(this.address.port, this.address.host, () => {
+        this.outageListener?.(false);
+      });
+    }
+  }
+
   async #handleRequest(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -123,18 +174,26 @@
     const expected = request.headers["expected-instance"];
     const isMisdirected = expected !== undefined && expected !== this.id;
     const { behavior } = this;
-    this.received.push({
+    const received = {
       method: request.method ?? "",
       target: request.url ?? "",
       headers: request.headers,
       body: Buffer.concat(chunks).toString("utf8"),
       hasRun: !isMisdirected && behavior !== SERVER_BEHAVIOR.shed,
-    });
+      receivedAtMs: Date.now(),
+    };
+    this.received.push(received);
     if (isMisdirected) {
       response.writeHead(STATUS_MISDIRECTED, { "instance-id": this.id });
       response.end();
       return;
     }
+    if (received.hasRun && this.crashBehavior?.isCrashing(received) === true) {
+      const { delayMs, downMs } = this.crashBehavior;
+      await new Promise((resolve) => setTimeout(resolve, delayMs));
+      this.crash(downMs);
+      return;
+    }
     await new Promise((resolve) => setTimeout(resolve, this.processingMs));
     this.#writeResponse(behavior, request, response);
   }
--- a/packages/standins/src/platform/tcp_fault_proxy.ts
+++ b/packages/standins/src/platform/tcp_fault_proxy.ts
@@ -31,6 +31,9 @@
     this.#connect(downstream);
   });
   #fault: LinkFault = LINK_FAULT.none;
+  #port = 0;
+  #isRefusing = false;
+  #isStopped = false;
 
   /**
    * Creates a proxy that does not listen yet.
@@ -51,11 +54,32 @@
       this.#server.listen(0, "127.0.0.1", resolve);
     });
     const { port } = this.#server.address() as net.AddressInfo;
+    this.#port = port;
     return { host: "127.0.0.1", port };
   }
 
+  /**
+   * Refuses new connections and resets open ones, as a target that is down does,
+   * or accepts connections again.
+   *
+   * @param isRefusing - true while the target is down
+   */
+  setRefusing(isRefusing: boolean): void {
+    if (isRefusing === this.#isRefusing || this.#isStopped) {
+      return;
+    }
+    this.#isRefusing = isRefusing;
+    if (isRefusing) {
+      this.#server.close();
+      this.#resetConnections();
+    } else {
+      this.#server.listen(this.#port, "127.0.0.1");
+    }
+  }
+
   /** Stops listening and resets all connections. */
   async stop(): Promise<void> {
+    this.#isStopped = true;
     const closed = new Promise((resolve) => this.#server.close(resolve));
     this.#resetConnections();
     await closed;
