feat(entry): log broken attempts by request fingerprint, and server crashes

Cause: the log named a request only by the identifier of one sending, so nobody could see that a caller sent the same request again, and a server that crashed looked like one that reset a connection.

attempt-broken carries a fingerprint (team, host, method, target and body) and whether the server accepts a new connection; server-crashed names a server that refuses connections after requests in flight broke. One connect for each server whose connections break, none otherwise. No decision uses them yet.

--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -299,6 +299,7 @@
       route,
       team,
       method: request.method ?? "GET",
+      host: head.host,
       target: request.url ?? "/",
       receivedAtMs,
       deadlineAtMs: receivedAtMs + timeoutMs,
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -13,6 +13,8 @@
 import { PlatformDialect } from "../dialect/platform_dialect.ts";
 import { CallerServer } from "../http/caller_server.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
+import { TcpConnectProbe } from "./connect_probe.ts";
+import { CrashObserver } from "./crash_observer.ts";
 import { DirectoryServer, DirectorySource } from "./directory_server.ts";
 import { FleetDecisionLog } from "./fleet_decision_log.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
@@ -143,6 +145,12 @@
         ratio: settings.retryBudgetRatio,
         slack: settings.retryBudgetSlack,
       },
+      crashes: new CrashObserver({
+        probe: new TcpConnectProbe(),
+        clock,
+        log,
+        handleCrash: () => undefined,
+      }),
     });
     const limiter = new SharedRateLimiter({
       self,
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -161,6 +161,25 @@
       totalMs: "number",
     },
   },
+  "attempt-broken": {
+    level: "warn",
+    meaning:
+      "an attempt ended without a response; `fingerprint` is the same each time the same team sends the same request, `connect` is the result of a new connection to the server",
+    fields: {
+      request: "text",
+      fingerprint: "text",
+      attempt: "number",
+      server: "text",
+      outcome: "text",
+      connect: "text",
+    },
+  },
+  "server-crashed": {
+    level: "warn",
+    meaning:
+      "a backend server refuses connections after requests in flight there broke",
+    fields: { server: "text", requests: "number" },
+  },
   "request-answered": {
     level: "info",
     meaning: "a backend server's response was sent to the caller",
--- /dev/null
+++ b/packages/entry/src/fleet/placement_log.ts
@@ -0,0 +1,100 @@
+/** Logs what the load balancer decides on a request and how attempts end. */
+
+import type { TakenSlot } from "@limpetford/core/placement/service_placement";
+import type { Clock } from "@limpetford/core/time/clock";
+
+import type {
+  AttemptSample,
+  PlacementRequest,
+} from "../ports/server_router.ts";
+import { readServiceId } from "./demand_builder.ts";
+import type { FleetLog } from "./fleet_log.ts";
+import type { FleetState } from "./fleet_state.ts";
+
+/** Dependencies of a {@link PlacementLog}. */
+export interface PlacementLogOptions {
+  readonly state: FleetState;
+  readonly clock: Clock;
+  readonly log: FleetLog;
+}
+
+/** A slot that a request has taken. */
+export interface PlacedRequest {
+  readonly request: PlacementRequest;
+  readonly slot: TakenSlot;
+  /** Share of the service's servers in gray failure, 0 to 1. */
+  readonly grayShare: number;
+  /** Monotonic time at which the request asked for a slot. */
+  readonly askedAtMs: number;
+}
+
+/** Writes the log lines of the placement of requests. */
+export class PlacementLog {
+  readonly #options: PlacementLogOptions;
+
+  /**
+   * Creates a log that adds the state's age to its lines.
+   *
+   * @param options - log, clock and state
+   */
+  constructor(options: PlacementLogOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Logs that a request waits for a slot.
+   *
+   * @param request - the request
+   * @param waiting - length of the queue, this request included
+   */
+  recordWaiting(request: PlacementRequest, waiting: number): void {
+    this.#options.log.record("request-waits", {
+      request: request.context.id,
+      service: readServiceId(request),
+      waiting,
+    });
+  }
+
+  /**
+   * Logs that a request is sent to a server.
+   *
+   * @param placed - the request and its slot
+   */
+  recordPlaced({ request, slot, grayShare, askedAtMs }: PlacedRequest): void {
+    const { clock, log, state } = this.#options;
+    const nowMs = clock.readMonotonicMs();
+    const { server } = slot;
+    log.record("request-placed", {
+      request: request.context.id,
+      attempt: request.attempt,
+      server: server.announced.id,
+      failureProbability: Number(
+        server.estimateFailureProbability(grayShare, nowMs).toFixed(3),
+      ),
+      load: server.load,
+      slots: server.announced.slots,
+      serversAgeMs: Math.round(state.serversAgeMs),
+      waitedMs: Math.round(nowMs - askedAtMs),
+    });
+  }
+
+  /**
+   * Logs the end of an attempt.
+   *
+   * @param request - the request
+   * @param slot - slot that the attempt used
+   * @param sample - outcome and duration of the attempt
+   */
+  recordEnded(
+    request: PlacementRequest,
+    slot: TakenSlot,
+    sample: AttemptSample,
+  ): void {
+    this.#options.log.record("attempt-ended", {
+      request: request.context.id,
+      server: slot.server.announced.id,
+      outcome: sample.outcome,
+      totalMs: Math.round(sample.totalMs),
+    });
+  }
+}
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -20,10 +20,12 @@
   type RetryVerdict,
   ServerRouter,
 } from "../ports/server_router.ts";
+import type { CrashObserver } from "./crash_observer.ts";
 import { buildDemand, readServiceId } from "./demand_builder.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { PeerServingReport } from "./peer_serving_report.ts";
+import { PlacementLog } from "./placement_log.ts";
 
 /** Time between checks of the queued requests. */
 const QUEUE_CHECK_INTERVAL_MS = 20;
@@ -44,6 +46,7 @@
   readonly zone: ZoneId;
   /** Limits of the extra attempts for each service. */
   readonly retryBounds: RetryLimits;
+  readonly crashes: CrashObserver;
 }
 
 interface PendingPlacement {
@@ -58,6 +61,7 @@
 /** Routes requests with one load balancer for each configured service. */
 export class PlacementRouter extends ServerRouter {
   readonly #options: PlacementRouterOptions;
+  readonly #log: PlacementLog;
   readonly #services = new Map<ServiceId, Balancer>();
   readonly #serviceByServer = new Map<string, ServiceId>();
   #isTickScheduled = false;
@@ -73,6 +77,7 @@
   constructor(options: PlacementRouterOptions) {
     super();
     this.#options = options;
+    this.#log = new PlacementLog(options);
     options.state.subscribe(() => {
       this.#updateServers();
     });
@@ -247,15 +252,11 @@
   }
 
   #acquireSlot(service: Balancer, pending: PendingPlacement): void {
-    const { clock, log } = this.#options;
+    const { clock } = this.#options;
     const demand = buildDemand(pending.request);
     const decision = service.acquire(demand, pending, clock.readMonotonicMs());
     if (decision.kind === "waiting") {
-      log.record("request-waits", {
-        request: pending.request.context.id,
-        service: readServiceId(pending.request),
-        waiting: service.waitingCount,
-      });
+      this.#log.recordWaiting(pending.request, service.waitingCount);
       this.#observeCaller(service, decision.waiter);
       this.#scheduleTick();
       return;
@@ -273,7 +274,12 @@
   ): void {
     switch (decision.kind) {
       case "placed":
-        this.#recordPlaced(pending, decision.slot, service.grayShare);
+        this.#log.recordPlaced({
+          request: pending.request,
+          askedAtMs: pending.askedAtMs,
+          slot: decision.slot,
+          grayShare: service.grayShare,
+        });
         pending.resolve({
           kind: "placed",
           placement: this.#buildPlacement(service, pending, decision.slot),
@@ -293,17 +299,18 @@
     { request }: PendingPlacement,
     slot: TakenSlot,
   ): Placement {
-    const { clock, log } = this.#options;
+    const { clock, crashes } = this.#options;
     const { announced } = slot.server;
     return {
       server: { ...announced, connections: Infinity },
       complete: (sample) => {
         service.complete(slot, sample, clock.readMonotonicMs());
-        log.record("attempt-ended", {
-          request: request.context.id,
-          server: announced.id,
-          outcome: sample.outcome,
-          totalMs: Math.round(sample.totalMs),
+        this.#log.recordEnded(request, slot, sample);
+        crashes.observe({
+          server: announced,
+          request,
+          sample,
+          sentAtMs: slot.running.startedAtMs,
         });
         if (sample.outcome !== "served") {
           this.#failureListener?.();
@@ -313,27 +320,6 @@
     };
   }
 
-  #recordPlaced(
-    pending: PendingPlacement,
-    { server }: TakenSlot,
-    grayShare: number,
-  ): void {
-    const { clock, log, state } = this.#options;
-    const nowMs = clock.readMonotonicMs();
-    log.record("request-placed", {
-      request: pending.request.context.id,
-      attempt: pending.request.attempt,
-      server: server.announced.id,
-      failureProbability: Number(
-        server.estimateFailureProbability(grayShare, nowMs).toFixed(3),
-      ),
-      load: server.load,
-      slots: server.announced.slots,
-      serversAgeMs: Math.round(state.serversAgeMs),
-      waitedMs: Math.round(nowMs - pending.askedAtMs),
-    });
-  }
-
   #decideWaiting(service: Balancer): void {
     const nowMs = this.#options.clock.readMonotonicMs();
     for (const { waiter, decision } of service.decideWaiting(nowMs)) {
--- a/packages/entry/src/fleet/sync_messages_test.ts
+++ b/packages/entry/src/fleet/sync_messages_test.ts
@@ -9,6 +9,8 @@
 } from "@limpetford/domain/ids";
 import type { Vm } from "@limpetford/domain/vm";
 
+import { TcpConnectProbe } from "./connect_probe.ts";
+import { CrashObserver } from "./crash_observer.ts";
 import { FleetLog } from "./fleet_log.ts";
 import { FleetPeers } from "./fleet_peers.ts";
 import { FleetState } from "./fleet_state.ts";
@@ -63,6 +65,12 @@
       log,
       zone: self.zone,
       retryBounds: { ratio: 0.2, slack: 60 },
+      crashes: new CrashObserver({
+        probe: new TcpConnectProbe(),
+        clock,
+        log,
+        handleCrash: () => undefined,
+      }),
     });
     const limiter = new SharedRateLimiter({
       self,
--- a/packages/entry/src/ports/request_context.ts
+++ b/packages/entry/src/ports/request_context.ts
@@ -22,6 +22,8 @@
   /** Undefined on an open route without a key. */
   readonly team: TeamId | undefined;
   readonly method: string;
+  /** Host that the route was matched by; absent if routes have no host. */
+  readonly host?: string;
   /** Path and query of the URL, without the API key. */
   readonly target: string;
   /** Monotonic time of arrival, in milliseconds. */
--- a/packages/entry/src/serving/admitted_exchange.ts
+++ b/packages/entry/src/serving/admitted_exchange.ts
@@ -11,7 +11,7 @@
 import { refuseNotRun } from "./refusal.ts";
 import type { Admission } from "./request_admission.ts";
 import type { RequestRecord } from "./request_explanations.ts";
-import { computeFingerprint } from "./request_fingerprint.ts";
+import { computeRepeatFingerprint } from "./request_fingerprint.ts";
 import type { OutboundRequest } from "./response_receiver.ts";
 
 /** An admitted request with the caller's exchange, its record and its span. */
@@ -60,8 +60,10 @@
   const { exchange, context, key, record } = admitted;
   const { rawHeaders, headers } = exchange.request;
   const selected = dialect.selectRequestHeaders(rawHeaders, key);
-  if (body !== undefined && !Buffer.isBuffer(body)) {
-    selected.push("content-length", headers["content-length"] ?? "0");
+  const isStreamed = body !== undefined && !Buffer.isBuffer(body);
+  const announcedLength = headers["content-length"] ?? "0";
+  if (isStreamed) {
+    selected.push("content-length", announcedLength);
   }
   return {
     context,
@@ -70,7 +72,11 @@
     isRetryable: context.route.isIdempotent &&
       (body === undefined || Buffer.isBuffer(body)),
     computeFingerprint: () =>
-      computeFingerprint(context, Buffer.isBuffer(body) ? body : undefined),
+      computeRepeatFingerprint({
+        context,
+        body: Buffer.isBuffer(body) ? body : undefined,
+        streamedBytes: isStreamed ? Number(announcedLength) : undefined,
+      }),
     traceparent: admitted.span?.traceparent ??
       readTraceparent(exchange.request, key),
     record,
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -134,11 +134,11 @@
   }
 
   /**
-   * Crashes the server: resets all connections and refuses new ones.
+   * Crashes: resets all connections and refuses new ones.
    *
    * @param downMs - time until the server listens again, in milliseconds
    */
-  crash(downMs: number): void {
+  stopAbruptly(downMs: number): void {
     if (this.#isDown || this.#isStopped) {
       return;
     }
@@ -150,11 +150,11 @@
       resetSocket(socket);
     }
     setTimeout(() => {
-      this.#restart();
+      this.#startAgain();
     }, downMs);
   }
 
-  #restart(): void {
+  #startAgain(): void {
     this.#isDown = false;
     if (!this.#isStopped) {
       this.#server.listen(this.address.port, this.address.host, () => {
@@ -191,7 +191,7 @@
     if (received.hasRun && this.crashBehavior?.isCrashing(received) === true) {
       const { delayMs, downMs } = this.crashBehavior;
       await new Promise((resolve) => setTimeout(resolve, delayMs));
-      this.crash(downMs);
+      this.stopAbruptly(downMs);
       return;
     }
     await new Promise((resolve) => setTimeout(resolve, this.processingMs));
