test(standins): a request that crashes servers is run again and again

What callers saw: 502 for the request, and other requests that were in flight with it; a server down for each sending. The test drives the bundled program: the request comes every 0.3 s at the VMs in turn, idempotent or not, with a length or in chunks, with or without a key; and once more after all VMs were killed. Bound from the users' rules: at most three runs later than 3 s after the third crash.

A fifth test passes now and guards the fix: a popular request in flight while servers crash for other reasons, alone and four at a time, goes on being served.

--- /dev/null
+++ b/packages/standins/src/fleet/crashing_request_test.ts
@@ -0,0 +1,164 @@
+import { execFileSync } from "node:child_process";
+
+import type {
+  CallerRequest,
+  CallerResponse,
+} from "../platform/caller_client.ts";
+import { waitMs } from "../process_soak/wait_ms.ts";
+import { FleetProcesses } from "./fleet_processes.ts";
+import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
+
+const KEY = "key-of-dance";
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+const ZONES = [2, 2];
+const SERVER_COUNT = 12;
+/** Time within which the fleet must react once three servers have crashed. */
+const REACTION_MS = 3_000;
+/** Runs that the users' rules allow after that time. */
+const ALLOWED_LATE_RUNS = 3;
+const REPEAT_MS = 300;
+const RUN_MS = 9_000;
+const CRASH_DELAY_MS = 60;
+const DOWN_MS = 1_500;
+
+interface CrashingRequest {
+  readonly name: string;
+  readonly requests: readonly CallerRequest[];
+}
+
+const CRASHING_REQUESTS: readonly CrashingRequest[] = [
+  {
+    name: "an idempotent request",
+    requests: [{ path: "/read/crash", key: KEY }],
+  },
+  {
+    name: "a request that is not idempotent, with and without a length",
+    requests: [
+      { path: "/book/crash", method: "POST", key: KEY, body: "deposit" },
+      {
+        path: "/book/crash",
+        method: "POST",
+        key: KEY,
+        body: "deposit",
+        isChunked: true,
+      },
+    ],
+  },
+  { name: "a request without a key", requests: [{ path: "/open/crash" }] },
+];
+
+// Guards against a request that crashes each server which runs it: its caller
+// sends it again with a new identifier, at any VM, and each sending takes
+// another server down.
+describe("a request that crashes servers", () => {
+  let fleet: FleetProcesses;
+  beforeAll(() => {
+    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+  });
+  beforeEach(async () => {
+    fleet = new FleetProcesses();
+    await fleet.start({ servers: SERVER_COUNT, zones: ZONES });
+    for (const server of fleet.servers) {
+      server.processingMs = 30;
+      server.crashBehavior = {
+        isCrashing: ({ target }) => target.endsWith("/crash"),
+        delayMs: CRASH_DELAY_MS,
+        downMs: DOWN_MS,
+      };
+    }
+  });
+  afterEach(async () => {
+    await fleet.stop();
+  });
+
+  // Sends the requests in turn at the VMs in turn, whatever the answers are.
+  async function sendRepeatedly(
+    requests: readonly CallerRequest[],
+    options: { readonly everyMs: number; readonly forMs: number },
+  ): Promise<readonly CallerResponse[]> {
+    const endAtMs = Date.now() + options.forMs;
+    const sent: Promise<CallerResponse>[] = [];
+    while (Date.now() < endAtMs) {
+      const vm = fleet.vms[sent.length % fleet.vms.length];
+      const request = requests[sent.length % requests.length];
+      if (vm !== undefined && request !== undefined) {
+        sent.push(fleet.send(vm, request));
+      }
+      await waitMs(options.everyMs);
+    }
+    return await Promise.all(sent);
+  }
+
+  function countLateRuns(): number {
+    const crashes = fleet.servers.flatMap(({ crashedAtMs }) => crashedAtMs);
+    const thirdAtMs = crashes.sort((a, b) => a - b)[2] ?? Infinity;
+    return fleet.servers.flatMap(({ received }) => received).filter((run) =>
+      run.target.endsWith("/crash") &&
+      run.receivedAtMs > thirdAtMs + REACTION_MS
+    ).length;
+  }
+
+  async function stopAllVms(): Promise<void> {
+    for (const vm of fleet.vms) {
+      vm.sendSignal("SIGKILL");
+    }
+    await Promise.all(fleet.vms.map((vm) => vm.waitForExit()));
+    await Promise.all(fleet.vms.map((vm) => fleet.startIfStopped(vm)));
+    await fleet.waitUntil(() => fleet.isFleetReady());
+  }
+
+  it.failing.each(CRASHING_REQUESTS)(
+    "is refused soon after the third crash: $name",
+    async ({ requests }) => {
+      const [crashing, others] = await Promise.all([
+        sendRepeatedly(requests, { everyMs: REPEAT_MS, forMs: RUN_MS }),
+        sendRepeatedly([{ path: "/read/other", key: KEY }], {
+          everyMs: 50,
+          forMs: RUN_MS,
+        }),
+      ]);
+      expect(countLateRuns()).toBeLessThanOrEqual(ALLOWED_LATE_RUNS);
+      const last = crashing.at(-1);
+      expect(last?.status).toBe(STATUS_UNAVAILABLE);
+      expect(Number(last?.headers["retry-after"])).toBeGreaterThan(0);
+      const lastOthers = others.slice(-others.length / 3);
+      expect(lastOthers.map(({ status }) => status)).toEqual(
+        lastOthers.map(() => STATUS_OK),
+      );
+    },
+    40_000,
+  );
+
+  it.failing("stays refused after all VMs were killed", async () => {
+    const requests = [{ path: "/read/crash", key: KEY }];
+    await sendRepeatedly(requests, { everyMs: REPEAT_MS, forMs: 5_000 });
+    await stopAllVms();
+    await sendRepeatedly(requests, { everyMs: REPEAT_MS, forMs: 4_000 });
+    expect(countLateRuns()).toBeLessThanOrEqual(ALLOWED_LATE_RUNS);
+  }, 40_000);
+
+  it(
+    "is not confused with a popular one in flight at other crashes",
+    async () => {
+      const popular = sendRepeatedly([{ path: "/read/popular", key: KEY }], {
+        everyMs: 10,
+        forMs: RUN_MS,
+      });
+      for (const count of [4, 1, 1, 3, 1, 1, 1, 2, 1]) {
+        await waitMs(800);
+        const running = fleet.servers.filter(({ isDown }) => !isDown);
+        for (const server of running.slice(0, count)) {
+          server.stopAbruptly(DOWN_MS);
+        }
+      }
+      const responses = await popular;
+      const served = responses.filter(({ status }) => status === STATUS_OK);
+      expect(served.length / responses.length).toBeGreaterThan(0.95);
+      expect(responses.map(({ body }) => body).join()).not.toContain(
+        "quarantined",
+      );
+    },
+    40_000,
+  );
+});
--- a/packages/standins/src/platform/caller_client.ts
+++ b/packages/standins/src/platform/caller_client.ts
@@ -30,6 +30,8 @@
   /** Time until the request's deadline, in milliseconds; default 3000. */
   readonly timeLeftMs?: number;
   readonly body?: string;
+  /** True to send the body in chunks, without a length. */
+  readonly isChunked?: boolean;
   /** Time until the caller closes its connection; never by default. */
   readonly abortAfterMs?: number;
 }
@@ -63,7 +65,7 @@
         ...request.key === undefined
           ? {}
           : { [PROTOCOL_HEADER.callerKey]: request.key },
-        ...body === "" ? {} : { "content-length": Buffer.byteLength(body) },
+        ...buildBodyHeaders(body, request.isChunked === true),
       },
     }, (response) => {
       const chunks: Buffer[] = [];
@@ -89,6 +91,16 @@
   });
 }
 
+function buildBodyHeaders(
+  body: string,
+  isChunked: boolean,
+): http.OutgoingHttpHeaders {
+  if (isChunked) {
+    return { "transfer-encoding": "chunked" };
+  }
+  return body === "" ? {} : { "content-length": Buffer.byteLength(body) };
+}
+
 /**
  * Sends a readiness probe to a VM.
  *
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -101,6 +101,15 @@
     return this.#address;
   }
 
+  /**
+   * Whether the server refuses connections because it has crashed.
+   *
+   * @returns true from a crash until the server listens again
+   */
+  get isDown(): boolean {
+    return this.#isDown;
+  }
+
   /**
    * Counts the received requests that ran.
    *
