test(standins): crashing and popular requests in the process soak

A request that crashes the server which runs it is sent every 350 ms through the whole run and six seconds beyond; servers also crash by themselves, and 40 % of the idempotent requests are equal to each other. New checks: at most three runs of the crashing request later than 3 s after the third crash and the last fault; no request is refused as quarantined that crashes no server.

--- a/packages/standins/src/fleet/crashing_request_test.ts
+++ b/packages/standins/src/fleet/crashing_request_test.ts
@@ -11,6 +11,8 @@
 const KEY = "key-of-dance";
 const STATUS_OK = 200;
 const STATUS_UNAVAILABLE = 503;
+const CRASH_DELAY_MS = 60;
+const DOWN_MS = 1_500;
 const ZONES = [2, 2];
 const SERVER_COUNT = 12;
 /** Time within which the fleet must react once three servers have crashed. */
@@ -19,12 +21,12 @@
 const ALLOWED_LATE_RUNS = 3;
 const REPEAT_MS = 300;
 const RUN_MS = 9_000;
-const CRASH_DELAY_MS = 60;
-const DOWN_MS = 1_500;
 
 interface CrashingRequest {
   readonly name: string;
   readonly requests: readonly CallerRequest[];
+  /** True if the caller does not wait for answers. */
+  readonly isUnanswered?: boolean;
 }
 
 const CRASHING_REQUESTS: readonly CrashingRequest[] = [
@@ -46,6 +48,13 @@
     ],
   },
   { name: "a request without a key", requests: [{ path: "/open/crash" }] },
+  {
+    name: "an idempotent request whose caller leaves before the crash",
+    requests: [
+      { path: "/read/crash", key: KEY, abortAfterMs: CRASH_DELAY_MS - 20 },
+    ],
+    isUnanswered: true,
+  },
 ];
 
 // Guards against a request that crashes each server which runs it: its caller
@@ -110,7 +119,7 @@
 
   it.each(CRASHING_REQUESTS)(
     "is refused soon after the third crash: $name",
-    async ({ requests }) => {
+    async ({ requests, isUnanswered }) => {
       const [crashing, others] = await Promise.all([
         sendRepeatedly(requests, { everyMs: REPEAT_MS, forMs: RUN_MS }),
         sendRepeatedly([{ path: "/read/other", key: KEY }], {
@@ -119,7 +128,11 @@
         }),
       ]);
       expect(countLateRuns()).toBeLessThanOrEqual(ALLOWED_LATE_RUNS);
-      const last = crashing.at(-1);
+      const patient = { path: "/read/crash", key: KEY };
+      const answered = isUnanswered === true
+        ? await sendRepeatedly([patient], { everyMs: 1, forMs: 1 })
+        : crashing;
+      const last = answered.at(-1);
       expect(last?.status).toBe(STATUS_UNAVAILABLE);
       expect(Number(last?.headers["retry-after"])).toBeGreaterThan(0);
       const lastOthers = others.slice(-others.length / 3);
--- a/packages/standins/src/process_soak/fault_injector.ts
+++ b/packages/standins/src/process_soak/fault_injector.ts
@@ -37,13 +37,16 @@
    */
   async run({ atMs, forMs, fault }: ScheduledFault): Promise<void> {
     await waitMs(atMs);
-    const clearFault = this.#applyFault(fault);
+    const clearFault = this.#applyFault(fault, forMs);
     await waitMs(forMs);
     await clearFault();
   }
 
   // Returns a function that clears the fault.
-  #applyFault(fault: ProcessFault): () => Promise<void> | void {
+  #applyFault(
+    fault: ProcessFault,
+    forMs: number,
+  ): () => Promise<void> | void {
     const { vms, store, storeLinks } = this.#fleet;
     switch (fault.kind) {
       case "kill":
@@ -68,12 +71,14 @@
       case "server":
       case "server-link":
       case "server-leaves":
-        return this.#applyServerFault(fault);
+      case "server-crash":
+        return this.#applyServerFault(fault, forMs);
     }
   }
 
   #applyServerFault(
     fault: Extract<ProcessFault, { readonly server: number }>,
+    forMs: number,
   ): () => void {
     const server = this.#fleet.servers[fault.server];
     const link = this.#fleet.serverLinks[fault.server];
@@ -98,6 +103,9 @@
         return () => {
           this.#fleet.publishLeaving(server, false);
         };
+      case "server-crash":
+        server.stopAbruptly(forMs);
+        return () => undefined;
     }
   }
 
--- a/packages/standins/src/process_soak/process_fault.ts
+++ b/packages/standins/src/process_soak/process_fault.ts
@@ -35,6 +35,7 @@
     readonly fault: LinkFault;
   }
   | { readonly kind: "server-leaves"; readonly server: number }
+  | { readonly kind: "server-crash"; readonly server: number }
   | { readonly kind: "history-dropped" };
 
 /** A fault with its start and duration. */
@@ -102,6 +103,7 @@
       fault: pickValue(random, LINK_FAULT),
     }),
     () => ({ kind: "server-leaves", server }),
+    () => ({ kind: "server-crash", server }),
     () => ({ kind: "history-dropped" }),
   ];
   const generate = generators[random.pickIndex(generators.length)];
--- a/packages/standins/src/process_soak/process_soak.ts
+++ b/packages/standins/src/process_soak/process_soak.ts
@@ -8,6 +8,7 @@
 import { FaultInjector } from "./fault_injector.ts";
 import { generateSchedule, type ScheduledFault } from "./process_fault.ts";
 import {
+  findLateRuns,
   findViolations,
   type RequestRun,
   type SentRequest,
@@ -26,6 +27,15 @@
 /** Time after which a caller gives up on a VM that does not respond. */
 const CALLER_TIMEOUT_MS = TIME_LEFT_MS + 500;
 const MAX_RECOVERY_MS = 15_000;
+/** Time between two sendings of the request that crashes servers. */
+const CRASHING_INTERVAL_MS = 350;
+const CRASHING_TARGETS = ["/read/crash", "/book/crash"] as const;
+const CRASH_DELAY_MS = 40;
+const CRASH_DOWN_MS = 1_200;
+/** How long that request is sent after the faults have ended. */
+const CRASHING_AFTER_FAULTS_MS = 6_000;
+/** Share of the idempotent requests that are equal to each other. */
+const POPULAR_SHARE = 0.4;
 /** Consecutive successful requests that prove recovery. */
 const RECOVERY_SUCCESSES = 20;
 
@@ -58,6 +68,8 @@
   readonly #sent: SentRequest[] = [];
   readonly #violations: string[] = [];
   readonly #faultInjector = new FaultInjector(this.#fleet);
+  readonly #crashingTarget: string;
+  #faultsEndedAtMs = Infinity;
 
   /**
    * Creates a run without starting anything.
@@ -67,6 +79,8 @@
   constructor(options: ProcessSoakOptions) {
     this.#options = options;
     this.#random = new SeededRandomSource(options.seed);
+    this.#crashingTarget =
+      CRASHING_TARGETS[this.#random.pickIndex(CRASHING_TARGETS.length)] ?? "";
   }
 
   /**
@@ -86,12 +100,21 @@
       await this.#fleet.start({ servers: SERVER_COUNT, zones: ZONES });
       for (const server of this.#fleet.servers) {
         server.processingMs = PROCESSING_MS;
+        server.crashBehavior = {
+          isCrashing: ({ target }) => target === this.#crashingTarget,
+          delayMs: CRASH_DELAY_MS,
+          downMs: CRASH_DOWN_MS,
+        };
       }
+      const crashing = this.#sendCrashingRequests(
+        lengthMs + CRASHING_AFTER_FAULTS_MS,
+      );
       await Promise.all([
         this.#sendRequests(lengthMs),
         ...faults.map((scheduled) => this.#faultInjector.run(scheduled)),
       ]);
       await this.#checkRecovery();
+      await crashing;
     } finally {
       await this.#fleet.stop();
     }
@@ -104,6 +127,10 @@
       violations: [
         ...this.#violations,
         ...this.#faultInjector.violations,
+        ...findLateRuns({
+          ranAtMs: this.#listCrashingRuns(),
+          faultsEndedAtMs: this.#faultsEndedAtMs,
+        }),
         ...findViolations({ sent: this.#sent, runs: this.#listRuns() }),
       ],
       logs: this.#fleet.vms.map(({ log }) => log),
@@ -120,14 +147,34 @@
     await Promise.all(running);
   }
 
-  async #sendRequest(): Promise<boolean> {
+  async #sendCrashingRequests(forMs: number): Promise<void> {
+    const endAtMs = Date.now() + forMs;
+    const running: Promise<unknown>[] = [];
+    while (Date.now() < endAtMs) {
+      running.push(this.#sendRequest(this.#crashingTarget));
+      await waitMs(CRASHING_INTERVAL_MS);
+    }
+    await Promise.all(running);
+  }
+
+  #chooseTarget(): string {
+    if (this.#random.sampleUniform() < 0.5) {
+      return `/book/${this.#sent.length}`;
+    }
+    return this.#random.sampleUniform() < POPULAR_SHARE
+      ? "/read/popular"
+      : `/read/${this.#sent.length}`;
+  }
+
+  async #sendRequest(target = this.#chooseTarget()): Promise<boolean> {
     const zone = `zone-${this.#random.pickIndex(ZONES.length)}`;
-    const isIdempotent = this.#random.sampleUniform() < 0.5;
+    const isIdempotent = target.startsWith("/read/");
     const index = this.#sent.length;
     const request: SentRequest = {
       id: `soak-${index}`,
-      target: isIdempotent ? `/read/${index}` : `/book/${index}`,
+      target,
       isIdempotent,
+      isCrashing: target === this.#crashingTarget,
       response: undefined,
       responseRequestId: undefined,
     };
@@ -175,6 +222,7 @@
       vm.sendSignal("SIGCONT");
       await this.#fleet.startIfStopped(vm);
     }
+    this.#faultsEndedAtMs = Date.now();
     let served = 0;
     while (served < RECOVERY_SUCCESSES) {
       if (Date.now() - startedAtMs > MAX_RECOVERY_MS) {
@@ -188,6 +236,14 @@
     }
   }
 
+  #listCrashingRuns(): readonly number[] {
+    return this.#fleet.servers.flatMap(({ received }) =>
+      received.filter(({ hasRun, target }) =>
+        hasRun && target === this.#crashingTarget
+      ).map(({ receivedAtMs }) => receivedAtMs)
+    );
+  }
+
   #listRuns(): readonly RequestRun[] {
     return this.#fleet.servers.flatMap((server) =>
       server.received.filter(({ hasRun }) => hasRun).map((run) => ({
--- a/packages/standins/src/process_soak/soak_checks.ts
+++ b/packages/standins/src/process_soak/soak_checks.ts
@@ -5,6 +5,8 @@
 /** Status codes that guarantee that a request has not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const STATUS_OK = 200;
+/** Kind of the refusal of a quarantined request. */
+const QUARANTINED = "quarantined";
 /** Body of a complete successful response of a server stand-in. */
 const RESPONSE_BODY = /^answer of i-\d+$/;
 
@@ -13,6 +15,8 @@
   readonly id: string;
   readonly target: string;
   readonly isIdempotent: boolean;
+  /** True if the request crashes each server that runs it. */
+  readonly isCrashing: boolean;
   /** Undefined until the exchange ends, or if no directory named a VM. */
   readonly response: CallerResponse | undefined;
   /** Request identifier in the response's headers; undefined if absent. */
@@ -25,6 +29,37 @@
   readonly target: string;
 }
 
+/** Time within which the fleet must stop a request that crashes servers. */
+const REACTION_MS = 3_000;
+/** Runs of such a request that the users' rules allow after that time. */
+const ALLOWED_LATE_RUNS = 3;
+
+/** Runs of a request that crashes the server which runs it. */
+export interface CrashObservations {
+  /** Wall-clock times of its runs, in milliseconds. */
+  readonly ranAtMs: readonly number[];
+  /** Wall-clock time of the end of the last injected fault, in milliseconds. */
+  readonly faultsEndedAtMs: number;
+}
+
+/**
+ * Checks that a request which crashes servers was stopped. What ran while faults
+ * were injected does not count, since no VM may have known of the crashes.
+ *
+ * @param observations - its runs and the end of the faults
+ * @returns a message for the violation, if there is one
+ */
+export function findLateRuns(
+  { ranAtMs, faultsEndedAtMs }: CrashObservations,
+): readonly string[] {
+  const thirdAtMs = [...ranAtMs].sort((a, b) => a - b)[2] ?? Infinity;
+  const lateAfterMs = Math.max(thirdAtMs, faultsEndedAtMs) + REACTION_MS;
+  const late = ranAtMs.filter((atMs) => atMs > lateAfterMs).length;
+  return late > ALLOWED_LATE_RUNS
+    ? [`a request that crashes servers ran ${late} times too late`]
+    : [];
+}
+
 /** Requests of the callers and executions at the backend servers of a soak. */
 export interface SoakObservations {
   readonly sent: readonly SentRequest[];
@@ -66,6 +101,9 @@
   if (!isIdempotent && NOT_RUN_STATUSES.has(response.status) && runCount > 0) {
     violations.push(`${id} got status ${response.status} but ran`);
   }
+  if (!sent.isCrashing && response.body.includes(QUARANTINED)) {
+    violations.push(`${id} was quarantined but crashes no server`);
+  }
   if (response.status === STATUS_OK) {
     if (sent.responseRequestId !== id) {
       violations.push(
--- a/packages/standins/src/process_soak/soak_checks_test.ts
+++ b/packages/standins/src/process_soak/soak_checks_test.ts
@@ -1,10 +1,15 @@
-import { findViolations, type SentRequest } from "./soak_checks.ts";
+import {
+  findLateRuns,
+  findViolations,
+  type SentRequest,
+} from "./soak_checks.ts";
 
 const RESPONSE = { status: 200, headers: {}, body: "answer of i-1" };
 const SENT: SentRequest = {
   id: "a",
   target: "/book/1",
   isIdempotent: false,
+  isCrashing: false,
   response: RESPONSE,
   responseRequestId: "a",
 };
@@ -46,6 +51,25 @@
       runs: [RUN],
       violations: 1,
     },
+    {
+      name: "quarantined although it crashes no server",
+      sent: {
+        ...SENT,
+        response: { ...RESPONSE, status: 503, body: "quarantined" },
+      },
+      runs: [],
+      violations: 1,
+    },
+    {
+      name: "quarantined because it crashes servers",
+      sent: {
+        ...SENT,
+        isCrashing: true,
+        response: { ...RESPONSE, status: 503, body: "quarantined" },
+      },
+      runs: [],
+      violations: 0,
+    },
     {
       name: "truncated response body",
       sent: { ...SENT, response: { ...RESPONSE, body: "answer" } },
@@ -62,3 +86,29 @@
     expect(findViolations({ sent: [sent], runs })).toHaveLength(violations);
   });
 });
+
+describe("findLateRuns", () => {
+  it.each([
+    { name: "none", ranAtMs: [], violations: 0 },
+    { name: "two crashes, long ago", ranAtMs: [0, 400], violations: 0 },
+    {
+      name: "three allowed runs",
+      ranAtMs: [0, 400, 800, 9_000, 9_400, 9_800],
+      violations: 0,
+    },
+    {
+      name: "one run too many",
+      ranAtMs: [0, 400, 800, 9_000, 9_400, 9_800, 10_200],
+      violations: 1,
+    },
+    {
+      name: "many runs while faults were injected",
+      ranAtMs: [0, 400, 800, 1_200, 1_600, 2_000, 7_000, 7_500],
+      violations: 0,
+    },
+  ])("$name: $violations", ({ ranAtMs, violations }) => {
+    expect(findLateRuns({ ranAtMs, faultsEndedAtMs: 5_000 })).toHaveLength(
+      violations,
+    );
+  });
+});
