--- a/packages/entry/src/fleet/crash_guard.ts
+++ b/packages/entry/src/fleet/crash_guard.ts
@@ -1,7 +1,10 @@
 /** Keeps requests that crash backend servers from running again and again. */
 
 import { SuspectRunGate } from "@limpetford/core/quarantine/suspect_run_gate";
-import { SUSPICION_STATUS } from "@limpetford/core/quarantine/suspicion";
+import {
+  countCrashes,
+  SUSPICION_STATUS,
+} from "@limpetford/core/quarantine/suspicion";
 import type { SuspicionRegistry } from "@limpetford/core/quarantine/suspicion_registry";
 import type { Clock } from "@limpetford/core/time/clock";
 
@@ -109,10 +112,12 @@
         return undefined;
       }
       if (status === SUSPICION_STATUS.quarantined) {
+        this.#recordSuspect(request);
         return { kind: "quarantined", retryAfterMs: QUARANTINE_RETRY_AFTER_MS };
       }
       const nowMs = clock.readMonotonicMs();
       if (this.#gate.begin(fingerprint, nowMs)) {
+        this.#recordSuspect(request);
         this.#gated.add(request);
         return undefined;
       }
@@ -188,6 +193,16 @@
     handleCrash(crash);
   }
 
+  #recordSuspect({ context, fingerprint }: PlacementRequest): void {
+    const { registry, log } = this.#options;
+    log.record("request-suspect", {
+      request: context.id,
+      fingerprint,
+      status: registry.findStatus(fingerprint),
+      crashes: countCrashes(registry.find(fingerprint)?.runs ?? []),
+    });
+  }
+
   async #waitForChange(
     { fingerprint, signal }: PlacementRequest,
     maxMs: number,
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -180,6 +180,17 @@
       "a backend server refuses connections after requests in flight there broke",
     fields: { server: "text", requests: "number" },
   },
+  "request-suspect": {
+    level: "info",
+    meaning:
+      "an equal request was in flight when servers crashed, so this one runs alone (`suspect`) or is refused (`quarantined`)",
+    fields: {
+      request: "text",
+      fingerprint: "text",
+      status: "text",
+      crashes: "number",
+    },
+  },
   "request-cleared": {
     level: "info",
     meaning:
