--- a/packages/core/src/fleet/announced_servers.ts
+++ b/packages/core/src/fleet/announced_servers.ts
@@ -1,68 +1,103 @@
-/** Registry of backend servers, built from the announcements in the log. */
+/** Registry of backend servers, built from their announcements. */
 
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
 import type { ServerId } from "@limpetford/domain/ids";
 import { SERVER_STATE } from "@limpetford/domain/service";
 
+import {
+  compareLogPositions,
+  type LogPosition,
+  pickLaterPosition,
+} from "./log_position.ts";
+import { RevisionLog } from "./revision_log.ts";
+
+const NO_POSITION: LogPosition = { era: 0, offset: 0 };
+
 /** Current state of a server, as VMs send it to each other. */
 export interface ServerChange {
-  readonly id: ServerId;
-  /** Latest announcement; undefined if the server is removed. */
-  readonly server: AnnouncedServer | undefined;
-  /** Log offset of the last record that changed the state. */
-  readonly offset: number;
+  /** Last announcement, also of a server that is gone. */
+  readonly server: AnnouncedServer;
+  /** True if the server is gone since that announcement. */
+  readonly isGone: boolean;
+  /** Position of the last record that changed the state. */
+  readonly position: LogPosition;
   /** Time until a pending removal takes effect, in milliseconds. */
   readonly goneInMs?: number;
 }
 
+/** Changes that a receiver lacks, by revisions of sender and receiver. */
+export interface ServerChanges {
+  readonly changes: readonly ServerChange[];
+  /** Revision of the sender up to which `changes` are complete. */
+  readonly revision: number;
+  /** True if the receiver then has all that the sender has. */
+  readonly isComplete: boolean;
+}
+
 interface ServerEntry {
-  change: ServerChange;
   /** Last announcement; kept after removal to detect outdated ones. */
-  last: AnnouncedServer | undefined;
+  last: AnnouncedServer;
+  isGone: boolean;
+  position: LogPosition;
   /** Monotonic time of a pending removal; undefined if none is pending. */
   removeAtMs: number | undefined;
 }
 
 /**
- * Applies announcements in log order and the states that other VMs send. A
- * server that has announced that it is leaving stays so until it restarts.
+ * Merges announcements, removals and the states that other VMs send. Within an
+ * era of the store, the log decides which state is newer. Between eras, the
+ * server's own start and sequence number do, since a store that returned from a
+ * copy shows older states. A server that has announced that it is leaving stays
+ * so until it restarts.
  */
 export class AnnouncedServers {
   readonly #entries = new Map<ServerId, ServerEntry>();
-  #nextOffset = 0;
+  readonly #revisions = new RevisionLog();
+  #nextPosition: LogPosition | undefined;
+  /** End of the snapshot that this VM has read first in the present era. */
+  #eraStart: LogPosition | undefined;
+  /** End of the snapshot that this VM has read last. */
+  #snapshotEnd: LogPosition | undefined;
 
   /**
-   * Log offset of the next record to read.
+   * Position of the next record to read.
    *
-   * @returns an offset; all records before it have been applied
+   * @returns all records before it have been applied; undefined if none was read
    */
-  get nextOffset(): number {
-    return this.#nextOffset;
+  get nextPosition(): LogPosition | undefined {
+    return this.#nextPosition;
   }
 
   /**
    * Applies an announcement. It cancels a pending removal.
    *
-   * @param server - announced state; ignored if older than the last one
-   * @param offset - its log offset
+   * @param server - announced state; ignored unless newer than the last one
+   * @param position - its position in the log
    * @returns true if the server's state changed
    */
-  applyAnnouncement(server: AnnouncedServer, offset: number): boolean {
-    const entry = this.#findEntry(server.id);
-    if (isOutdated(server, entry.last)) {
+  applyAnnouncement(server: AnnouncedServer, position: LogPosition): boolean {
+    const entry = this.#entries.get(server.id);
+    if (
+      entry !== undefined && (compareAnnouncements(server, entry.last) <= 0 ||
+        isBeforeRemoval({ server, position }, entry))
+    ) {
       return false;
     }
-    const announced = keepLeavingState(server, entry.last);
-    const wasGone = entry.change.server === undefined ||
-      entry.removeAtMs !== undefined;
-    entry.removeAtMs = undefined;
-    const isChanged = wasGone || !isSameServer(announced, entry.last);
-    entry.last = announced;
-    entry.change = {
-      id: server.id,
-      server: announced,
-      offset: isChanged ? offset : entry.change.offset,
-    };
+    const announced = keepLeavingState(server, entry?.last);
+    const isChanged = entry === undefined || entry.isGone ||
+      entry.removeAtMs !== undefined || !isSameServer(announced, entry.last);
+    // The first announcement in an era shows other VMs that the server is not
+    // among those that the store has lost.
+    const isShared = isChanged || entry.position.era < position.era;
+    this.#entries.set(server.id, {
+      last: announced,
+      isGone: false,
+      position: isShared ? position : entry.position,
+      removeAtMs: undefined,
+    });
+    if (isShared) {
+      this.#revisions.record(server.id);
+    }
     return isChanged;
   }
 
@@ -71,46 +106,37 @@
    * time.
    *
    * @param id - server to remove; ignored if not announced
-   * @param offset - log offset of the removal
+   * @param position - position of the removal in the log
    * @param effectiveAtMs - monotonic time at which the removal takes effect
    */
-  applyRemoval(id: ServerId, offset: number, effectiveAtMs: number): void {
+  applyRemoval(
+    id: ServerId,
+    position: LogPosition,
+    effectiveAtMs: number,
+  ): void {
     const entry = this.#entries.get(id);
-    if (entry?.change.server === undefined) {
+    if (
+      entry === undefined || entry.isGone || entry.removeAtMs !== undefined
+    ) {
       return;
     }
-    entry.removeAtMs ??= effectiveAtMs;
-    entry.change = { ...entry.change, offset };
+    entry.removeAtMs = effectiveAtMs;
+    entry.position = position;
+    this.#revisions.record(id);
   }
 
   /**
    * Applies the server states that another VM has sent.
    *
-   * @param changes - states; those with an older log offset are ignored
-   * @param options - the sender's next offset, and the monotonic time
+   * @param changes - states; those that are not newer are ignored
+   * @param nowMs - monotonic time, in milliseconds
    * @returns true if the state of any server changed
    */
-  applyChanges(
-    changes: readonly ServerChange[],
-    { nextOffset, nowMs }: {
-      readonly nextOffset: number;
-      readonly nowMs: number;
-    },
-  ): boolean {
+  applyChanges(changes: readonly ServerChange[], nowMs: number): boolean {
     let isChanged = false;
     for (const change of changes) {
-      const entry = this.#findEntry(change.id);
-      if (change.offset > entry.change.offset) {
-        const { id, server, offset, goneInMs } = change;
-        entry.change = { id, server, offset };
-        entry.last = server ?? entry.last;
-        entry.removeAtMs = goneInMs === undefined
-          ? undefined
-          : nowMs + goneInMs;
-        isChanged = true;
-      }
+      isChanged = this.#applyChange(change, nowMs) || isChanged;
     }
-    this.markRead(nextOffset);
     return isChanged;
   }
 
@@ -118,28 +144,43 @@
    * Schedules the removal of every server that a snapshot does not list.
    *
    * @param listed - identifiers of the servers in the snapshot
-   * @param options - the snapshot's end offset, and the monotonic time at which
-   * the removals take effect
+   * @param end - end of the snapshot
+   * @param effectiveAtMs - monotonic time at which the removals take effect
    */
   removeUnlisted(
     listed: ReadonlySet<string>,
-    options: { readonly endOffset: number; readonly effectiveAtMs: number },
+    end: LogPosition,
+    effectiveAtMs: number,
   ): void {
+    // The next record gets the end's offset and has to come after the removal.
+    const lastRead = { era: end.era, offset: end.offset - 1 };
+    const isNewEra = this.#eraStart?.era !== end.era;
     for (const [id, entry] of this.#entries) {
-      if (!listed.has(id) && entry.change.offset < options.endOffset) {
-        this.applyRemoval(id, options.endOffset, options.effectiveAtMs);
+      // A record behind the end was learned from a VM that has read further.
+      if (!listed.has(id) && compareLogPositions(entry.position, end) < 0) {
+        this.applyRemoval(id, lastRead, effectiveAtMs);
+        entry.position = lastRead;
+        if (isNewEra && entry.removeAtMs !== undefined) {
+          // What the server wrote since the last return is lost as well.
+          entry.removeAtMs = effectiveAtMs;
+        }
       }
     }
-    this.markRead(options.endOffset);
+    this.#snapshotEnd = end;
+    if (isNewEra) {
+      this.#eraStart = end;
+    }
+    this.markRead(end);
   }
 
   /**
-   * Marks all records before an offset as applied. The offset never decreases.
+   * Marks all records before a position as applied. The position never goes
+   * back within an era.
    *
-   * @param nextOffset - log offset of the next record to read
+   * @param nextPosition - position of the next record to read
    */
-  markRead(nextOffset: number): void {
-    this.#nextOffset = Math.max(this.#nextOffset, nextOffset);
+  markRead(nextPosition: LogPosition | undefined): void {
+    this.#nextPosition = pickLaterPosition(this.#nextPosition, nextPosition);
   }
 
   /**
@@ -150,10 +191,11 @@
    */
   expireRemoved(nowMs: number): boolean {
     let isChanged = false;
-    for (const entry of this.#entries.values()) {
+    for (const [id, entry] of this.#entries) {
       if (entry.removeAtMs !== undefined && entry.removeAtMs <= nowMs) {
         entry.removeAtMs = undefined;
-        entry.change = { ...entry.change, server: undefined };
+        entry.isGone = true;
+        this.#revisions.record(id);
         isChanged = true;
       }
     }
@@ -166,61 +208,169 @@
    * @returns the latest announcement of each server
    */
   listServers(): readonly AnnouncedServer[] {
-    return [...this.#entries.values()].flatMap(({ change }) =>
-      change.server === undefined ? [] : [change.server]
+    return [...this.#entries.values()].flatMap(({ last, isGone }) =>
+      isGone ? [] : [last]
     );
   }
 
   /**
-   * Lists the states that changed at an offset or later, to be sent to another
-   * VM.
+   * Lists the states that changed after a revision, to be sent to another VM.
    *
-   * @param fromOffset - the receiver has applied all records before it
+   * @param seen - revision that the receiver has; undefined if it is not known
    * @param nowMs - monotonic time, in milliseconds
-   * @returns the current state of each server that changed
+   * @returns the current state of each server that changed; none if the
+   * receiver's revision is not known
    */
-  listChangesSince(
-    fromOffset: number,
-    nowMs: number,
-  ): readonly ServerChange[] {
-    const changes: ServerChange[] = [];
-    for (const { change, removeAtMs } of this.#entries.values()) {
-      if (change.offset >= fromOffset) {
-        changes.push(
-          removeAtMs === undefined
-            ? change
-            : { ...change, goneInMs: Math.max(0, removeAtMs - nowMs) },
-        );
-      }
+  listChangesSince(seen: number | undefined, nowMs: number): ServerChanges {
+    if (seen === undefined) {
+      return { changes: [], revision: 0, isComplete: false };
     }
-    return changes;
+    const { keys, revision } = this.#revisions.listSince(seen);
+    return {
+      changes: keys.flatMap((key) => this.#buildChange(key, nowMs)),
+      revision,
+      isComplete: true,
+    };
   }
 
-  #findEntry(id: ServerId): ServerEntry {
-    const known = this.#entries.get(id);
-    if (known !== undefined) {
-      return known;
+  #applyChange(change: ServerChange, nowMs: number): boolean {
+    const { server, isGone, position, goneInMs } = change;
+    const entry = this.#entries.get(server.id);
+    const isPresent = !isGone && goneInMs === undefined;
+    if (
+      entry === undefined && isPresent && this.#isMissingInSnapshot(position)
+    ) {
+      this.#addRemoved(server);
+      return false;
+    }
+    if (entry !== undefined && !this.#isNewer(change, entry)) {
+      this.#mergeRemoved(change, entry);
+      return false;
     }
-    const created: ServerEntry = {
-      change: { id, server: undefined, offset: -1 },
-      last: undefined,
+    this.#entries.set(server.id, {
+      last: pickLaterAnnouncement(server, entry?.last),
+      isGone,
+      position,
+      removeAtMs: this.#isOfEarlierEra(position)
+        ? entry?.removeAtMs
+        : goneInMs === undefined
+        ? undefined
+        : nowMs + goneInMs,
+    });
+    this.#revisions.record(server.id);
+    return true;
+  }
+
+  // A removal that was pending when the store returned again is decided anew.
+  #isOfEarlierEra({ era }: LogPosition): boolean {
+    return this.#eraStart !== undefined && era < this.#eraStart.era;
+  }
+
+  #isNewer(change: ServerChange, entry: ServerEntry): boolean {
+    const { era, offset } = change.position;
+    if (entry.isGone && change.goneInMs !== undefined) {
+      return false;
+    }
+    if (era === entry.position.era) {
+      return offset > entry.position.offset;
+    }
+    if (era > entry.position.era && this.#isSinceSnapshot(change.position)) {
+      return true;
+    }
+    if (
+      isBeforeRemoval(change, entry) ||
+      (entry.isGone && this.#isSinceSnapshot(entry.position))
+    ) {
+      return false;
+    }
+    const order = compareAnnouncements(change.server, entry.last);
+    return order > 0 ||
+      (order === 0 && computeRemovalRank(change) > computeRemovalRank(entry));
+  }
+
+  // A server of which this VM's snapshot said nothing was removed before it. The
+  // other VMs may have skipped the removal with this VM's position.
+  #isMissingInSnapshot({ era, offset }: LogPosition): boolean {
+    const end = this.#snapshotEnd;
+    return end?.era === era && offset < end.offset;
+  }
+
+  #addRemoved(server: AnnouncedServer): void {
+    const { era, offset } = this.#snapshotEnd ?? NO_POSITION;
+    this.#entries.set(server.id, {
+      last: server,
+      isGone: true,
+      position: { era, offset: offset - 1 },
       removeAtMs: undefined,
-    };
-    this.#entries.set(id, created);
-    return created;
+    });
+    this.#revisions.record(server.id);
+  }
+
+  // The last announcement before the removal tells later which ones are older.
+  #mergeRemoved(change: ServerChange, entry: ServerEntry): void {
+    const isLater = compareAnnouncements(change.server, entry.last) > 0;
+    if (change.isGone && entry.isGone && isLater) {
+      entry.last = change.server;
+      this.#revisions.record(entry.last.id);
+    }
+  }
+
+  // What the log says after the snapshot was written when the store had returned.
+  #isSinceSnapshot({ era, offset }: LogPosition): boolean {
+    return this.#eraStart?.era === era && offset >= this.#eraStart.offset - 1;
+  }
+
+  #buildChange(key: string, nowMs: number): readonly ServerChange[] {
+    const entry = this.#entries.get(key as ServerId);
+    if (entry === undefined) {
+      return [];
+    }
+    const { last, isGone, position, removeAtMs } = entry;
+    const change = { server: last, isGone, position };
+    return [
+      removeAtMs === undefined
+        ? change
+        : { ...change, goneInMs: Math.max(0, removeAtMs - nowMs) },
+    ];
+  }
+}
+
+// After the same announcement a removal is the later state.
+function computeRemovalRank(
+  state: Pick<ServerChange, "isGone" | "goneInMs"> & {
+    readonly removeAtMs?: number | undefined;
+  },
+): number {
+  if (state.isGone) {
+    return 2;
   }
+  return state.goneInMs === undefined && state.removeAtMs === undefined ? 0 : 1;
+}
+
+// A copy of the store is the beginning of the log before it returned. A state
+// that it shows at a lower offset than a removal is older than the removal,
+// unless the server has started again.
+function isBeforeRemoval(
+  { server, position }: Pick<ServerChange, "server" | "position">,
+  entry: ServerEntry,
+): boolean {
+  return entry.isGone && position.era > entry.position.era &&
+    position.offset <= entry.position.offset &&
+    server.startedAtMs === entry.last.startedAtMs;
 }
 
-// Announcements may arrive repeatedly and out of order.
-function isOutdated(
+function pickLaterAnnouncement(
   server: AnnouncedServer,
   last: AnnouncedServer | undefined,
-): boolean {
-  if (last === undefined || server.startedAtMs > last.startedAtMs) {
-    return false;
-  }
-  return server.startedAtMs < last.startedAtMs ||
-    server.sequence <= last.sequence;
+): AnnouncedServer {
+  return last !== undefined && compareAnnouncements(server, last) < 0
+    ? last
+    : keepLeavingState(server, last);
+}
+
+// Orders announcements of one server by its start and its sequence number.
+function compareAnnouncements(a: AnnouncedServer, b: AnnouncedServer): number {
+  return a.startedAtMs - b.startedAtMs || a.sequence - b.sequence;
 }
 
 function keepLeavingState(
@@ -232,11 +382,8 @@
   return hasLeft ? { ...server, state: SERVER_STATE.leaving } : server;
 }
 
-function isSameServer(
-  a: AnnouncedServer,
-  b: AnnouncedServer | undefined,
-): boolean {
-  return a.service === b?.service && a.state === b.state &&
+function isSameServer(a: AnnouncedServer, b: AnnouncedServer): boolean {
+  return a.service === b.service && a.state === b.state &&
     a.zone === b.zone && a.slots === b.slots &&
     a.startedAtMs === b.startedAtMs &&
     a.address.host === b.address.host && a.address.port === b.address.port;
--- a/packages/core/src/fleet/announced_servers_test.ts
+++ b/packages/core/src/fleet/announced_servers_test.ts
@@ -28,7 +28,7 @@
 function describeAll(servers: AnnouncedServers): readonly string[] {
   return servers.listServers().map(({ id, state, startedAtMs }) =>
     `${id} ${state} ${startedAtMs}`
-  );
+  ).sort();
 }
 
 describe("AnnouncedServers", () => {
@@ -65,50 +65,134 @@
   ];
   it.each(cases)("applies $name", ({ then, expected, isChanged }) => {
     const servers = new AnnouncedServers();
-    servers.applyAnnouncement(buildServer(), 0);
-    expect(servers.applyAnnouncement(buildServer(then), 1)).toBe(isChanged);
+    servers.applyAnnouncement(buildServer(), { era: 0, offset: 0 });
+    expect(servers.applyAnnouncement(buildServer(then), { era: 0, offset: 1 }))
+      .toBe(isChanged);
     expect(describeAll(servers)).toEqual(expected);
   });
 
   it("keeps a server leaving until it restarts", () => {
     const servers = new AnnouncedServers();
-    servers.applyAnnouncement(buildServer({ state: "leaving" }), 0);
-    servers.applyAnnouncement(buildServer({ sequence: 2 }), 1);
+    servers.applyAnnouncement(buildServer({ state: "leaving" }), {
+      era: 0,
+      offset: 0,
+    });
+    servers.applyAnnouncement(buildServer({ sequence: 2 }), {
+      era: 0,
+      offset: 1,
+    });
     expect(describeAll(servers)).toEqual(["a leaving 1000"]);
   });
 
   it("keeps a server until its removal is due, and if it reappears", () => {
     const servers = new AnnouncedServers();
-    servers.applyAnnouncement(buildServer(), 0);
-    servers.applyRemoval(A, 1, 2_000);
+    servers.applyAnnouncement(buildServer(), { era: 0, offset: 0 });
+    servers.applyRemoval(A, { era: 0, offset: 1 }, 2_000);
     servers.expireRemoved(1_999);
     expect(describeAll(servers)).toEqual(["a active 1000"]);
-    servers.applyAnnouncement(buildServer({ sequence: 2 }), 2);
+    servers.applyAnnouncement(buildServer({ sequence: 2 }), {
+      era: 0,
+      offset: 2,
+    });
     servers.expireRemoved(9_000);
     expect(describeAll(servers)).toEqual(["a active 1000"]);
   });
 
   it("removes a server that a snapshot does not list", () => {
     const servers = new AnnouncedServers();
-    servers.applyAnnouncement(buildServer(), 0);
-    servers.removeUnlisted(new Set(), { endOffset: 5, effectiveAtMs: 10 });
+    servers.applyAnnouncement(buildServer(), { era: 0, offset: 0 });
+    servers.removeUnlisted(new Set(), { era: 0, offset: 5 }, 10);
     expect(servers.expireRemoved(10)).toBe(true);
     expect(describeAll(servers)).toEqual([]);
-    expect(servers.nextOffset).toBe(5);
+    expect(servers.nextPosition).toEqual({ era: 0, offset: 5 });
   });
 
   it("passes its changes to another VM, with pending removals", () => {
     const from = new AnnouncedServers();
-    from.applyAnnouncement(buildServer(), 0);
-    from.applyAnnouncement(buildServer({ id: toId<ServerId>("b") }), 1);
-    from.applyRemoval(A, 2, 5_000);
-    from.markRead(3);
+    from.applyAnnouncement(buildServer(), { era: 0, offset: 0 });
+    from.applyAnnouncement(buildServer({ id: toId<ServerId>("b") }), {
+      era: 0,
+      offset: 1,
+    });
+    from.applyRemoval(A, { era: 0, offset: 2 }, 5_000);
     const to = new AnnouncedServers();
-    const changes = from.listChangesSince(0, 4_000);
-    expect(to.applyChanges(changes, { nextOffset: 3, nowMs: 100 })).toBe(true);
+    const { changes, isComplete } = from.listChangesSince(0, 4_000);
+    expect(isComplete).toBe(true);
+    expect(to.applyChanges(changes, 100)).toBe(true);
     expect(describeAll(to)).toEqual(["a active 1000", "b active 1000"]);
     to.expireRemoved(1_100);
     expect(describeAll(to)).toEqual(["b active 1000"]);
-    expect(to.nextOffset).toBe(3);
+    expect(from.listChangesSince(undefined, 4_000).isComplete).toBe(false);
+  });
+
+  // Each case: a server that drained at sequence 5 and was removed at offset 90
+  // of the first era, and what a copy of the store or another VM says of it.
+  describe("after a return of the store from a copy", () => {
+    const LOST = { era: 0, offset: 90 };
+    let servers: AnnouncedServers;
+    beforeEach(() => {
+      servers = new AnnouncedServers();
+      servers.applyAnnouncement(buildServer(), { era: 0, offset: 10 });
+      servers.applyAnnouncement(
+        buildServer({ sequence: 5, state: "leaving" }),
+        {
+          era: 0,
+          offset: 80,
+        },
+      );
+      servers.applyRemoval(A, LOST, 0);
+      servers.expireRemoved(0);
+    });
+
+    it("does not bring back a server that has gone", () => {
+      servers.applyAnnouncement(buildServer({ sequence: 4 }), {
+        era: 1,
+        offset: 60,
+      });
+      expect(describeAll(servers)).toEqual([]);
+    });
+
+    it("does not take another VM's word for it that read only the copy", () => {
+      const fresh = new AnnouncedServers();
+      fresh.applyAnnouncement(buildServer({ sequence: 4 }), {
+        era: 1,
+        offset: 60,
+      });
+      servers.applyChanges(fresh.listChangesSince(0, 0).changes, 0);
+      expect(describeAll(servers)).toEqual([]);
+      fresh.applyChanges(servers.listChangesSince(0, 0).changes, 0);
+      expect(describeAll(fresh)).toEqual([]);
+    });
+
+    it("lists the server once it has started again", () => {
+      servers.applyAnnouncement(
+        buildServer({ sequence: 1, startedAtMs: 5_000 }),
+        { era: 1, offset: 70 },
+      );
+      expect(describeAll(servers)).toEqual(["a active 5000"]);
+    });
+
+    it("takes a removal that was recorded after its own snapshot", () => {
+      const other = new AnnouncedServers();
+      const b = buildServer({ id: toId<ServerId>("b"), sequence: 40 });
+      servers.applyAnnouncement(b, { era: 0, offset: 70 });
+      servers.removeUnlisted(new Set(["b"]), { era: 1, offset: 60 }, 0);
+      other.applyAnnouncement({ ...b, sequence: 30 }, { era: 1, offset: 20 });
+      other.applyRemoval(b.id, { era: 1, offset: 75 }, 0);
+      other.expireRemoved(0);
+      servers.applyChanges(other.listChangesSince(0, 0).changes, 0);
+      expect(describeAll(servers)).toEqual([]);
+    });
+
+    it("keeps a server that the copy does not know until removals are due", () => {
+      const b = buildServer({ id: toId<ServerId>("b") });
+      servers.applyAnnouncement(b, { era: 0, offset: 95 });
+      servers.removeUnlisted(new Set(), { era: 1, offset: 60 }, 2_300);
+      servers.expireRemoved(2_299);
+      expect(describeAll(servers)).toEqual(["b active 1000"]);
+      servers.applyAnnouncement({ ...b, sequence: 2 }, { era: 1, offset: 61 });
+      servers.expireRemoved(9_000);
+      expect(describeAll(servers)).toEqual(["b active 1000"]);
+    });
   });
 });
--- /dev/null
+++ b/packages/core/src/fleet/store_era_tracker.ts
@@ -0,0 +1,64 @@
+/** Decides when a store that returned from an older copy is complete again. */
+
+/**
+ * Time after the return within which operators and backend servers write again
+ * what the store has lost.
+ */
+export const REWRITE_MS = 2_300;
+
+/**
+ * Follows the era of the store. What a store says in a new era may be older than
+ * what it had acknowledged before, so it proves nothing until the writers have
+ * had time to write again.
+ */
+export class StoreEraTracker {
+  #era: number | undefined;
+  #seenAtMs = -Infinity;
+
+  /**
+   * The highest era seen.
+   *
+   * @returns the era; undefined before the first one
+   */
+  get era(): number | undefined {
+    return this.#era;
+  }
+
+  /**
+   * Records the era of an answer.
+   *
+   * @param era - era of the store
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns true if the era has risen, also at its first observation
+   */
+  observe(era: number, nowMs: number): boolean {
+    if (this.#era !== undefined && era <= this.#era) {
+      return false;
+    }
+    this.#era = era;
+    // A store that never returned from a copy has lost nothing.
+    this.#seenAtMs = era === 0 ? -Infinity : nowMs;
+    return true;
+  }
+
+  /**
+   * Marks an era as complete, as another VM has recorded it on the store.
+   *
+   * @param era - era in which the store has been for long
+   */
+  markSettled(era: number): void {
+    if (era === this.#era) {
+      this.#seenAtMs = -Infinity;
+    }
+  }
+
+  /**
+   * Checks whether the store has what it acknowledged in earlier eras.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns false while the writers may still have to write again
+   */
+  isSettled(nowMs: number): boolean {
+    return this.#era !== undefined && nowMs - this.#seenAtMs >= REWRITE_MS;
+  }
+}
--- /dev/null
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -0,0 +1,102 @@
+/** One VM's side of the exchange between VMs, without any network. */
+
+import type { FakeClock } from "@limpetford/core/time/fake_clock";
+import { SeededRandomSource } from "@limpetford/core/time/random_source";
+import {
+  type RegionId,
+  toId,
+  type VmId,
+  type ZoneId,
+} from "@limpetford/domain/ids";
+import type { Vm } from "@limpetford/domain/vm";
+import { StoreClient } from "@limpetford/platform/store/store_client";
+
+import { TcpConnectProbe } from "../fleet/connect_probe.ts";
+import { CrashProtection } from "../fleet/crash_protection.ts";
+import { FleetLog } from "../fleet/fleet_log.ts";
+import { FleetPeers } from "../fleet/fleet_peers.ts";
+import { FleetState } from "../fleet/fleet_state.ts";
+import { PlacementRouter } from "../fleet/placement_router.ts";
+import { SharedRateLimiter } from "../fleet/shared_rate_limiter.ts";
+import { SUSPICION_READER } from "../fleet/suspicions_handler.ts";
+import { SyncMessages } from "../fleet/sync_messages.ts";
+
+/**
+ * Builds the record of a VM.
+ *
+ * @param id - identifier of the VM
+ * @param startedAtMs - wall-clock time of its start, in milliseconds
+ * @returns the record, with addresses that nothing listens on
+ */
+export function buildExchangeVm(id: string, startedAtMs = 1): Vm {
+  return {
+    incarnation: { vm: toId<VmId>(id), startedAtMs },
+    zone: toId<ZoneId>("z"),
+    region: toId<RegionId>("r"),
+    callerAddress: { host: "10.0.0.1", port: 1 },
+    peerAddress: { host: "10.0.0.1", port: 2 },
+    weight: 1,
+  };
+}
+
+/** The components of one VM that take part in an exchange of messages. */
+export class ExchangeSide {
+  readonly self: Vm;
+  readonly state: FleetState;
+  readonly peers: FleetPeers;
+  readonly messages: SyncMessages;
+  readonly crashes: CrashProtection;
+
+  /**
+   * Creates the components, which know only this VM.
+   *
+   * @param id - identifier of the VM
+   * @param clock - shared by all sides
+   * @param startedAtMs - wall-clock time of the VM's start, in milliseconds
+   */
+  constructor(id: string, clock: FakeClock, startedAtMs = 1) {
+    this.self = buildExchangeVm(id, startedAtMs);
+    this.state = new FleetState(clock);
+    this.state.applyVm(this.self);
+    this.peers = new FleetPeers(this.self, this.state, clock);
+    const log = new FleetLog({ clock, level: "error", vm: id });
+    const { self, state, peers } = this;
+    this.crashes = new CrashProtection({
+      probe: new TcpConnectProbe(),
+      client: new StoreClient({ host: "127.0.0.1", port: 1 }),
+      clock,
+      log,
+      readReader: () => SUSPICION_READER.none,
+      notifyNews: () => undefined,
+    });
+    const router = new PlacementRouter({
+      state,
+      clock,
+      random: new SeededRandomSource(1),
+      log,
+      zone: self.zone,
+      retryBounds: { ratio: 0.2, slack: 60 },
+      guard: this.crashes.guard,
+    });
+    const limiter = new SharedRateLimiter({
+      self,
+      state,
+      peers,
+      clock,
+      log,
+      sendTokenRequest: () => Promise.resolve(undefined),
+      isFirstStart: true,
+      tolerance: 0,
+    });
+    this.messages = new SyncMessages({
+      self,
+      state,
+      peers,
+      router,
+      limiter,
+      suspicions: this.crashes.suspicions,
+      clock,
+      log,
+    });
+  }
+}
--- a/packages/entry/src/fleet/fleet_peers.ts
+++ b/packages/entry/src/fleet/fleet_peers.ts
@@ -35,10 +35,14 @@
   leaderKnownAtMs: number;
   /** Rate of its callers' requests; 0 unless it is a leader. */
   requestsPerSecond: number;
-  /** Log offset of its configuration; -1 without one. */
-  configurationOffset: number;
-  /** Log offset up to which it has applied server announcements. */
-  serversOffset: number;
+  /** Version of its configuration; -1 without one, undefined if not known. */
+  configurationVersion: number | undefined;
+  /** True if it runs an earlier version whose messages are read in part. */
+  isOutdated: boolean;
+  /** Revision of this VM's servers that it has; undefined if not known. */
+  serversSeen: number | undefined;
+  /** Revision of its servers that this VM has. */
+  serversRevision: number;
   /** Number of VMs that it knows, itself included. */
   vmCount: number;
   /** Its monotonic clock at its last message; undefined without one. */
@@ -115,8 +119,10 @@
       leaderSinceMs: undefined,
       leaderKnownAtMs: -Infinity,
       requestsPerSecond: 0,
-      configurationOffset: -1,
-      serversOffset: 0,
+      configurationVersion: undefined,
+      isOutdated: false,
+      serversSeen: undefined,
+      serversRevision: 0,
       vmCount: 0,
       clockMs: undefined,
       hasOwnRecord: false,
@@ -150,8 +156,9 @@
     peer.heardAtMs = this.#clock.readMonotonicMs();
     peer.suspectedUntilMs = 0;
     peer.isLeaving = message.isLeaving;
-    peer.configurationOffset = message.configurationOffset;
-    peer.serversOffset = message.serversOffset;
+    if (message.storeEra !== undefined) {
+      peer.configurationVersion = message.configurationVersion;
+    }
     peer.vmCount = message.vmCount;
     peer.clockMs = message.clockMs;
     const ownClaim = message.leads.find(({ vm }) => vm === message.from);
--- a/packages/entry/src/fleet/fleet_state.ts
+++ b/packages/entry/src/fleet/fleet_state.ts
@@ -2,6 +2,11 @@
 
 import { AnnouncedServers } from "@limpetford/core/fleet/announced_servers";
 import { HostRouteIndex } from "@limpetford/core/fleet/host_route_index";
+import {
+  compareLogPositions,
+  type LogPosition,
+} from "@limpetford/core/fleet/log_position";
+import { StoreEraTracker } from "@limpetford/core/fleet/store_era_tracker";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
 import type { Configuration } from "@limpetford/domain/configuration";
@@ -23,20 +28,23 @@
 
 import { ConfigurationSource } from "../ports/configuration_source.ts";
 
-/** A configuration with the offset of its record in the store's log. */
+/** A configuration with the latest known position of its record in the log. */
 export interface LoggedConfiguration {
   readonly configuration: FleetConfiguration;
-  readonly offset: number;
+  readonly position: LogPosition;
 }
 
 /**
  * Merges updates from the store and from other VMs. A configuration becomes
- * active when it is applied, and only one with a higher offset replaces it.
+ * active when it is applied, and only one with a higher version replaces it,
+ * wherever the log keeps it.
  */
 export class FleetState extends ConfigurationSource {
   readonly servers = new AnnouncedServers();
   readonly #vms = new Map<string, Vm>();
+  readonly #eras = new StoreEraTracker();
   readonly #listeners: (() => void)[] = [];
+  readonly #eraListeners: ((isFirst: boolean) => void)[] = [];
   readonly #clock: Clock;
   #active: LoggedConfiguration | undefined;
   #routes = new HostRouteIndex([]);
@@ -58,7 +66,7 @@
   }
 
   /**
-   * The active configuration and its log offset.
+   * The active configuration and its position in the log.
    *
    * @returns undefined until a configuration has been applied
    */
@@ -87,14 +95,20 @@
   /**
    * Activates a configuration unless the active one is the same or newer.
    *
-   * @param logged - the configuration and its log offset
+   * @param logged - the configuration and its position in the log
    * @returns true if the configuration was activated
    */
   applyConfiguration(logged: LoggedConfiguration): boolean {
-    if (logged.offset <= (this.#active?.offset ?? -1)) {
-      return false;
+    const { configuration, position } = logged;
+    if (this.#active !== undefined) {
+      const { version } = this.#active.configuration;
+      if (configuration.version === version) {
+        this.recordConfigurationPosition(version, position);
+      }
+      if (configuration.version <= version) {
+        return false;
+      }
     }
-    const { configuration } = logged;
     this.#active = logged;
     this.#routes = new HostRouteIndex(configuration.routes);
     this.#teams = new Map(configuration.teams.map((team) => [team.id, team]));
@@ -105,6 +119,86 @@
     return true;
   }
 
+  /**
+   * Records where the log keeps a configuration. After the store has returned
+   * from a copy, this shows that the configuration was written again.
+   *
+   * @param version - ignored unless it is the active one's
+   * @param position - position of its record; an earlier one has no effect
+   */
+  recordConfigurationPosition(version: number, position: LogPosition): void {
+    const active = this.#active;
+    if (
+      active?.configuration.version === version &&
+      compareLogPositions(position, active.position) > 0
+    ) {
+      this.#active = { ...active, position };
+    }
+  }
+
+  /**
+   * Checks whether a read of the store proves that the active configuration is
+   * the newest: the store has it, and has had time to get back what it lost.
+   *
+   * @returns false without a configuration
+   */
+  isConfigurationProvable(): boolean {
+    return this.#active !== undefined &&
+      this.#active.position.era === this.#eras.era &&
+      this.#eras.isSettled(this.#clock.readMonotonicMs());
+  }
+
+  /**
+   * Highest era of the store that this VM knows.
+   *
+   * @returns 0 before the first one
+   */
+  get storeEra(): number {
+    return this.#eras.era ?? 0;
+  }
+
+  /**
+   * Records the era of the store.
+   *
+   * @param era - era in an answer of the store or a message of another VM
+   */
+  observeStoreEra(era: number): void {
+    const isFirst = this.#eras.era === undefined;
+    if (this.#eras.observe(era, this.#clock.readMonotonicMs()) && era > 0) {
+      this.#eraListeners.forEach((listener) => {
+        listener(isFirst);
+      });
+    }
+  }
+
+  /**
+   * Records that a store which returned from a copy is complete again.
+   *
+   * @param era - era for which this was found
+   */
+  markStoreEraSettled(era: number): void {
+    this.#eras.markSettled(era);
+  }
+
+  /**
+   * Checks whether the store is complete again after its last return.
+   *
+   * @returns false while what it has lost may still be written again
+   */
+  isStoreSettled(): boolean {
+    return this.#eras.isSettled(this.#clock.readMonotonicMs());
+  }
+
+  /**
+   * Adds a listener for returns of the store from a copy.
+   *
+   * @param listener - called when a higher era than 0 is first known, with true
+   * if this VM knew none before
+   */
+  subscribeStoreEra(listener: (isFirst: boolean) => void): void {
+    this.#eraListeners.push(listener);
+  }
+
   /**
    * Records that the active configuration was the newest at a point in time.
    *
--- /dev/null
+++ b/packages/entry/src/fleet/fleet_state_test.ts
@@ -0,0 +1,85 @@
+import { FakeClock } from "@limpetford/core/time/fake_clock";
+import type { FleetConfiguration } from "@limpetford/domain/fleet_configuration";
+
+import { FleetState } from "./fleet_state.ts";
+
+function buildConfiguration(version: number): FleetConfiguration {
+  return {
+    version,
+    routes: [],
+    services: [],
+    teams: [],
+    keys: [],
+    callerLimits: {
+      headerBytes: 1,
+      bodyBytes: 1,
+      headerTimeoutMs: 1,
+      idleTimeoutMs: 1,
+    },
+    hasTeams: true,
+  };
+}
+
+// Guards against a read of a store that has returned from an older copy being
+// taken for proof that no key was withdrawn since.
+describe("FleetState", () => {
+  let clock: FakeClock;
+  let state: FleetState;
+  beforeEach(() => {
+    clock = new FakeClock();
+    state = new FleetState(clock);
+    clock.advance(1_000);
+    state.observeStoreEra(0);
+    state.applyConfiguration({
+      configuration: buildConfiguration(9),
+      position: { era: 0, offset: 40 },
+    });
+  });
+
+  it("can prove the newest configuration while the store loses nothing", () => {
+    expect(state.isConfigurationProvable()).toBe(true);
+  });
+
+  it("proves nothing while the store has an older configuration", () => {
+    state.observeStoreEra(1);
+    state.applyConfiguration({
+      configuration: buildConfiguration(8),
+      position: { era: 1, offset: 38 },
+    });
+    clock.advance(60_000);
+    expect(state.active?.configuration.version).toBe(9);
+    expect(state.isConfigurationProvable()).toBe(false);
+  });
+
+  it("proves nothing before writers have had time to write again", () => {
+    state.observeStoreEra(1);
+    const position = { era: 1, offset: 38 };
+    state.applyConfiguration({
+      configuration: buildConfiguration(9),
+      position,
+    });
+    clock.advance(2_299);
+    expect(state.isConfigurationProvable()).toBe(false);
+    clock.advance(1);
+    expect(state.isConfigurationProvable()).toBe(true);
+  });
+
+  it("follows a newer version at a lower offset", () => {
+    state.observeStoreEra(1);
+    const position = { era: 1, offset: 3 };
+    const configuration = buildConfiguration(10);
+    expect(state.applyConfiguration({ configuration, position })).toBe(true);
+    expect(state.active?.configuration.version).toBe(10);
+  });
+
+  it("trusts an era at once that another VM found complete", () => {
+    state.observeStoreEra(1);
+    const position = { era: 1, offset: 38 };
+    state.applyConfiguration({
+      configuration: buildConfiguration(9),
+      position,
+    });
+    state.markStoreEraSettled(1);
+    expect(state.isConfigurationProvable()).toBe(true);
+  });
+});
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -25,6 +25,7 @@
 import { FleetState } from "./fleet_state.ts";
 import { PlacementRouter } from "./placement_router.ts";
 import { SharedRateLimiter } from "./shared_rate_limiter.ts";
+import { StoreEraRecord } from "./store_era_record.ts";
 import {
   ConfigurationHandler,
   ServersHandler,
@@ -59,6 +60,8 @@
 const REGISTRATION_RETRY_MS = 500;
 /** Time beyond the callers' idle limit after which idle connections close. */
 const IDLE_TIMEOUT_MARGIN_MS = 500;
+/** VMs spread their reads after a return of the store over this time. */
+const SNAPSHOT_SPREAD_MS = 1_000;
 /** How long a read waits for a new record, as a share of the same time. */
 const CONFIGURATION_WAIT_SHARE = 0.2;
 /**
@@ -93,6 +96,7 @@
   readonly #directory = new DirectoryServer(this);
   readonly #consumers: readonly TopicConsumer[];
   readonly #servers: ServersHandler;
+  readonly #storeEra: StoreEraRecord;
   readonly #reads: StoreReadSchedule;
   #timer: NodeJS.Timeout | undefined;
   #isStopped = false;
@@ -189,6 +193,15 @@
       notifyChange: () => {
         this.#exchange.notifyPartners();
       },
+    }, random.sampleUniform() * SNAPSHOT_SPREAD_MS);
+    this.#storeEra = new StoreEraRecord({
+      client: this.#client,
+      state,
+      log,
+      isWriter: () => this.#exchange.computeReaderRank() === 0,
+    });
+    state.subscribeStoreEra((isFirst) => {
+      this.#handleStoreReturn(isFirst);
     });
     this.#consumers = this.#buildConsumers();
     this.#callerServer = this.#buildCallerServer(limiter);
@@ -224,6 +237,7 @@
     this.#timer = setInterval(() => {
       this.#servers.expireRemoved();
       this.#crashes.update();
+      void this.#storeEra.writeIfDue();
     }, MAINTENANCE_INTERVAL_MS);
   }
 
@@ -346,6 +360,14 @@
     return server;
   }
 
+  // A store that has returned from a copy may have lost this VM's record.
+  #handleStoreReturn(isFirst: boolean): void {
+    void this.#storeEra.load();
+    if (!isFirst) {
+      void this.#registerSelf();
+    }
+  }
+
   async #registerSelf(): Promise<void> {
     const { self } = this.#settings;
     while (!this.#isStopped) {
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -66,6 +66,29 @@
     meaning: "a configuration became active",
     fields: { version: "number", offset: "number", source: "text" },
   },
+  "configuration-outdated": {
+    level: "warn",
+    meaning:
+      "the store has an older configuration than the one in force, which stays",
+    fields: {
+      version: "number",
+      inForce: "number",
+      era: "number",
+      offset: "number",
+    },
+  },
+  "store-returned": {
+    level: "warn",
+    meaning:
+      "the store has returned from an older copy; its offsets went back, and what it had acknowledged is written again",
+    fields: {
+      topic: "text",
+      eraBefore: "number",
+      offsetBefore: "number",
+      era: "number",
+      offset: "number",
+    },
+  },
   "server-announced": {
     level: "info",
     meaning: "a backend server was added or changed its state",
@@ -91,6 +114,12 @@
     meaning: "another VM did not respond",
     fields: { peer: "text", cause: "text" },
   },
+  "peer-outdated": {
+    level: "warn",
+    meaning:
+      "another VM runs an earlier version; its configuration and servers are not read",
+    fields: { peer: "text" },
+  },
   "peer-regained": {
     level: "info",
     meaning: "another VM responds again",
--- a/packages/entry/src/fleet/servers_handler_test.ts
+++ b/packages/entry/src/fleet/servers_handler_test.ts
@@ -29,8 +29,8 @@
       log: new FleetLog({ clock, level: "error", vm: "a" }),
       readMaxAgeMs: () => 0,
       notifyChange: () => undefined,
-    });
-    handler.applyRecords([buildRecord(0, "ready")], 1);
+    }, 0);
+    handler.applyRecords([buildRecord(0, "ready")], { era: 0, offset: 1 });
     handler.recordFreshness(clock.readMonotonicMs());
   });
 
@@ -41,7 +41,7 @@
 
   it("removes a server immediately while the store is reachable", () => {
     clock.advance(400);
-    handler.applyRecords([buildRecord(1, undefined)], 2);
+    handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
     expect(countServers()).toBe(0);
   });
 
@@ -49,25 +49,27 @@
     clock.advance(6_000);
     // Other VMs reached the store and passed their fresh data on.
     state.recordServersFreshness(clock.readMonotonicMs() - 500);
-    handler.applyRecords([buildRecord(1, undefined)], 2);
+    handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
     expect(countServers()).toBe(0);
   });
 
   it("delays the removal of an expired server after a store outage", () => {
     clock.advance(6_000);
-    handler.applyRecords([buildRecord(1, undefined)], 2);
+    handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
     handler.recordFreshness(clock.readMonotonicMs());
     clock.advance(2_000);
     expect(countServers()).toBe(1);
     clock.advance(400);
+    expect(countServers()).toBe(1);
+    handler.recordFreshness(clock.readMonotonicMs());
     expect(countServers()).toBe(0);
   });
 
   it("keeps an expired server that has announced itself again", () => {
     clock.advance(6_000);
-    handler.applyRecords([buildRecord(1, undefined)], 2);
+    handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
     clock.advance(1_000);
-    handler.applyRecords([buildRecord(2, "ready")], 3);
+    handler.applyRecords([buildRecord(2, "ready")], { era: 0, offset: 3 });
     clock.advance(5_000);
     expect(countServers()).toBe(1);
   });
--- a/packages/entry/src/fleet/store_handlers.ts
+++ b/packages/entry/src/fleet/store_handlers.ts
@@ -1,5 +1,10 @@
 /** Handlers that apply the records of each store topic to the VM's state. */
 
+import {
+  type LogPosition,
+  pickLaterPosition,
+} from "@limpetford/core/fleet/log_position";
+import { REWRITE_MS } from "@limpetford/core/fleet/store_era_tracker";
 import type { Clock } from "@limpetford/core/time/clock";
 import { type ServerId, toId } from "@limpetford/domain/ids";
 import { decodeConfiguration } from "@limpetford/platform/store/configuration_decoder";
@@ -16,16 +21,16 @@
 import type { FleetState } from "./fleet_state.ts";
 import { TopicHandler } from "./topic_consumer.ts";
 
-/**
- * Time within which a running server announces itself again once the store is
- * reachable after an outage.
- */
-const REANNOUNCEMENT_MS = 2_300;
 /**
  * A server list that was not confirmed for this long shows that no VM could
  * reach the store.
  */
 const STORE_OUTAGE_MS = 2_500;
+/**
+ * Time until this VM learns from another one what was written after a return of
+ * the store.
+ */
+const PASS_ON_MS = 700;
 /** Time between reads of the VM list while no other VM is reachable. */
 const ISOLATED_READ_INTERVAL_MS = 1_000;
 /** Time between checks whether other VMs are still reachable. */
@@ -47,7 +52,7 @@
   override readonly topic = TOPIC.operators;
   override readonly waitMs: number;
   readonly #options: StoreHandlerOptions;
-  #nextOffset: number | undefined;
+  #next: LogPosition | undefined;
   #readAtMs = -Infinity;
 
   /**
@@ -62,11 +67,14 @@
     this.waitMs = Math.round(waitMs);
   }
 
-  override readNextOffset(): number | undefined {
-    const { active } = this.#options.state;
-    return this.#nextOffset === undefined
-      ? undefined
-      : Math.max(this.#nextOffset, (active?.offset ?? -1) + 1);
+  override readNextPosition(): LogPosition | undefined {
+    const position = this.#options.state.active?.position;
+    if (this.#next === undefined || position?.era !== this.#next.era) {
+      return this.#next;
+    }
+    // The record of the active configuration need not be read again.
+    const { era, offset } = position;
+    return pickLaterPosition(this.#next, { era, offset: offset + 1 });
   }
 
   override readDueInMs(): number {
@@ -79,32 +87,36 @@
 
   override applySnapshot(
     records: readonly KeyedRecord[],
-    endOffset: number,
+    end: LogPosition,
   ): void {
-    this.applyRecords(records, endOffset);
+    this.applyRecords(records, end);
   }
 
   override applyRecords(
     records: readonly KeyedRecord[],
-    nextOffset: number,
+    next: LogPosition,
   ): void {
-    this.#nextOffset = Math.max(this.#nextOffset ?? 0, nextOffset);
+    const { era } = next;
+    this.#options.state.observeStoreEra(era);
+    this.#next = pickLaterPosition(this.#next, next);
     for (const { key, value, offset } of records) {
       if (key === CONFIGURATION_KEY && value !== undefined) {
-        this.#applyConfiguration(value, offset);
+        this.#applyConfiguration(value, { era, offset });
       }
     }
   }
 
   override recordFreshness(atMs: number): void {
     this.#readAtMs = atMs;
-    if (this.#options.state.active !== undefined) {
-      this.#options.state.recordConfigurationFreshness(atMs);
+    const { state } = this.#options;
+    if (state.isConfigurationProvable()) {
+      state.recordConfigurationFreshness(atMs);
     }
   }
 
-  #applyConfiguration(value: Buffer, offset: number): void {
+  #applyConfiguration(value: Buffer, position: LogPosition): void {
     const { state, log, notifyChange } = this.#options;
+    const { era, offset } = position;
     const decoded = decodeConfiguration(value, hashCallerKey);
     if (!decoded.ok) {
       log.record("record-unreadable", {
@@ -115,13 +127,21 @@
       return;
     }
     const configuration = decoded.value;
-    if (state.applyConfiguration({ configuration, offset })) {
+    const { version } = configuration;
+    if (state.applyConfiguration({ configuration, position })) {
       log.record("configuration-in-force", {
-        version: configuration.version,
+        version,
         offset,
         source: "store",
       });
       notifyChange();
+    } else if (version < (state.active?.configuration.version ?? version)) {
+      log.record("configuration-outdated", {
+        version,
+        inForce: state.active?.configuration.version ?? version,
+        era,
+        offset,
+      });
     }
   }
 }
@@ -131,50 +151,65 @@
   override readonly topic = TOPIC.servers;
   override readonly waitMs = 0;
   readonly #options: StoreHandlerOptions;
-  #hasSnapshot = false;
   #removalsDeferredUntilMs = 0;
+  #eraReadAtMs = 0;
 
   /**
    * Creates a handler that has not read the topic yet.
    *
    * @param options - state, clock, log and callbacks
+   * @param spreadMs - delay of this VM's read after a return of the store
    */
-  constructor(options: StoreHandlerOptions) {
+  constructor(options: StoreHandlerOptions, spreadMs: number) {
     super();
     this.#options = options;
+    options.state.subscribeStoreEra(() => {
+      this.#eraReadAtMs = options.clock.readMonotonicMs() + spreadMs;
+    });
   }
 
-  override readNextOffset(): number | undefined {
-    const { nextOffset } = this.#options.state.servers;
-    return this.#hasSnapshot || nextOffset > 0 ? nextOffset : undefined;
+  override readNextPosition(): LogPosition | undefined {
+    return this.#options.state.servers.nextPosition;
   }
 
+  // After a return of the store every VM reads one snapshot, since its own list
+  // tells it what the copy has lost.
   override readDueInMs(): number {
-    const { state, readMaxAgeMs } = this.#options;
+    const { state, clock, readMaxAgeMs } = this.#options;
+    const readEra = state.servers.nextPosition?.era ?? state.storeEra;
+    if (readEra < state.storeEra) {
+      return this.#eraReadAtMs - clock.readMonotonicMs();
+    }
     return readMaxAgeMs() - state.serversAgeMs;
   }
 
   override applySnapshot(
     records: readonly KeyedRecord[],
-    endOffset: number,
+    end: LogPosition,
   ): void {
-    this.#hasSnapshot = true;
+    const { state } = this.#options;
+    const readEra = state.servers.nextPosition?.era ?? end.era;
+    state.observeStoreEra(end.era);
     this.#checkStoreOutage();
-    this.#applyAll(records);
-    this.#options.state.servers.removeUnlisted(
+    if (end.era > readEra) {
+      this.#setRemovalDelay(REWRITE_MS + PASS_ON_MS);
+    }
+    this.#applyAll(records, end.era);
+    state.servers.removeUnlisted(
       new Set(records.map(({ key }) => key)),
-      { endOffset, effectiveAtMs: this.#readRemovalMs() },
+      end,
+      this.#readRemovalMs(),
     );
     this.#notify();
   }
 
   override applyRecords(
     records: readonly KeyedRecord[],
-    nextOffset: number,
+    next: LogPosition,
   ): void {
     this.#checkStoreOutage();
-    const isChanged = this.#applyAll(records);
-    this.#options.state.servers.markRead(nextOffset);
+    const isChanged = this.#applyAll(records, next.era);
+    this.#options.state.servers.markRead(next);
     if (isChanged) {
       this.#notify();
     }
@@ -184,10 +219,14 @@
     this.#options.state.recordServersFreshness(atMs);
   }
 
-  /** Removes the servers whose deferred removal is due. */
+  /**
+   * Removes the servers whose deferred removal is due. A VM that has heard
+   * nothing since the removal was due does not know whether they are back.
+   */
   expireRemoved(): void {
     const { state, clock } = this.#options;
-    if (state.servers.expireRemoved(clock.readMonotonicMs())) {
+    const knownUntilMs = clock.readMonotonicMs() - state.serversAgeMs;
+    if (state.servers.expireRemoved(knownUntilMs)) {
       this.#notify();
     }
   }
@@ -197,21 +236,25 @@
   // again. If only this VM could not reach the store, other VMs have kept its
   // list fresh, and removals are not deferred.
   #checkStoreOutage(): void {
-    const { state, clock } = this.#options;
+    const { state } = this.#options;
     const ageMs = state.serversAgeMs;
     if (Number.isFinite(ageMs) && ageMs > STORE_OUTAGE_MS) {
-      this.#removalsDeferredUntilMs = clock.readMonotonicMs() +
-        REANNOUNCEMENT_MS;
+      this.#setRemovalDelay(REWRITE_MS);
     }
   }
 
-  #applyAll(records: readonly KeyedRecord[]): boolean {
+  #setRemovalDelay(delayMs: number): void {
+    this.#removalsDeferredUntilMs = this.#options.clock.readMonotonicMs() +
+      delayMs;
+  }
+
+  #applyAll(records: readonly KeyedRecord[], era: number): boolean {
     const { state, log } = this.#options;
     let isChanged = false;
     for (const { key, value, offset } of records) {
       const id = toId<ServerId>(key);
       if (value === undefined) {
-        state.servers.applyRemoval(id, offset, this.#readRemovalMs());
+        state.servers.applyRemoval(id, { era, offset }, this.#readRemovalMs());
         log.record("server-gone", { server: key, offset });
         isChanged = true;
         continue;
@@ -223,7 +266,9 @@
           offset,
           cause: decoded.error,
         });
-      } else if (state.servers.applyAnnouncement(decoded.value, offset)) {
+      } else if (
+        state.servers.applyAnnouncement(decoded.value, { era, offset })
+      ) {
         isChanged = true;
         log.record("server-announced", {
           server: key,
@@ -259,7 +304,7 @@
   readonly #state: FleetState;
   readonly #clock: Clock;
   readonly #isIsolated: () => boolean;
-  #nextOffset: number | undefined;
+  #next: LogPosition | undefined;
   #freshAtMs = -Infinity;
 
   /**
@@ -278,8 +323,8 @@
     this.#isIsolated = isIsolated;
   }
 
-  override readNextOffset(): number | undefined {
-    return this.#nextOffset;
+  override readNextPosition(): LogPosition | undefined {
+    return this.#next;
   }
 
   override readDueInMs(): number {
@@ -290,16 +335,16 @@
 
   override applySnapshot(
     records: readonly KeyedRecord[],
-    endOffset: number,
+    end: LogPosition,
   ): void {
-    this.applyRecords(records, endOffset);
+    this.applyRecords(records, end);
   }
 
   override applyRecords(
     records: readonly KeyedRecord[],
-    nextOffset: number,
+    next: LogPosition,
   ): void {
-    this.#nextOffset = nextOffset;
+    this.#next = next;
     for (const { key, value } of records) {
       const vm = value === undefined ? undefined : decodeVmRecord(key, value);
       if (vm !== undefined) {
--- a/packages/entry/src/fleet/suspicion_sync.ts
+++ b/packages/entry/src/fleet/suspicion_sync.ts
@@ -1,5 +1,6 @@
 /** Shares with the other VMs which requests may crash servers. */
 
+import { RevisionLog } from "@limpetford/core/fleet/revision_log";
 import {
   countCrashes,
   type Suspicion,
@@ -37,9 +38,7 @@
  */
 export class SuspicionSync {
   readonly #options: SuspicionSyncOptions;
-  /** Revision of the last change of each suspicion, in ascending order. */
-  readonly #revisions = new Map<string, number>();
-  #revision = 0;
+  readonly #revisions = new RevisionLog();
   /** Where the change that is being applied was learned from. */
   #source: string | undefined;
   #unsentSuspicions = new Map<string, Suspicion>();
@@ -110,17 +109,11 @@
   buildUpdate(peer: PeerState | undefined): SuspicionUpdate {
     const seenRevision = peer?.suspicionsRevision ?? 0;
     const known = peer?.suspicionsSeen;
-    if (known === undefined || known >= this.#revision) {
-      return { rows: [], revision: known ?? 0, seenRevision };
+    if (known === undefined) {
+      return { rows: [], revision: 0, seenRevision };
     }
-    const lacking = [...this.#revisions].filter(([, at]) => at > known);
-    const sent = lacking.slice(0, MAX_ROWS);
-    const isComplete = sent.length === lacking.length;
-    return {
-      rows: this.#listRows(sent.map(([fingerprint]) => fingerprint)),
-      revision: isComplete ? this.#revision : sent.at(-1)?.[1] ?? known,
-      seenRevision,
-    };
+    const { keys, revision } = this.#revisions.listSince(known, MAX_ROWS);
+    return { rows: this.#listRows(keys), revision, seenRevision };
   }
 
   /**
@@ -157,11 +150,9 @@
 
   /** Drops the revisions of suspicions that the registry no longer has. */
   dropExpired(): void {
-    for (const fingerprint of this.#revisions.keys()) {
-      if (this.#options.registry.find(fingerprint) === undefined) {
-        this.#revisions.delete(fingerprint);
-      }
-    }
+    this.#revisions.dropExcept((fingerprint) =>
+      this.#options.registry.find(fingerprint) !== undefined
+    );
   }
 
   #applyRows(from: string, rows: readonly SuspicionRow[]): void {
@@ -186,9 +177,7 @@
 
   #recordChange(suspicion: Suspicion): void {
     const { fingerprint, status } = suspicion;
-    this.#revision += 1;
-    this.#revisions.delete(fingerprint);
-    this.#revisions.set(fingerprint, this.#revision);
+    this.#revisions.record(fingerprint);
     if (this.#source === undefined) {
       this.#unsentSuspicions.set(fingerprint, suspicion);
     }
--- a/packages/entry/src/fleet/suspicions_handler.ts
+++ b/packages/entry/src/fleet/suspicions_handler.ts
@@ -1,5 +1,6 @@
 /** Keeps requests that may crash servers on the store, to outlive all VMs. */
 
+import type { LogPosition } from "@limpetford/core/fleet/log_position";
 import {
   isSameSuspicion,
   type Suspicion,
@@ -76,7 +77,7 @@
   /** Monotonic time since which this VM knows what the store lacks. */
   readonly #missingSinceMs = new Map<string, number>();
   readonly #observedHere = new Set<string>();
-  #nextOffset: number | undefined;
+  #next: LogPosition | undefined;
   #readAtMs = -Infinity;
   #writeAtMs = -Infinity;
   #isWriting = false;
@@ -91,8 +92,8 @@
     this.#options = options;
   }
 
-  override readNextOffset(): number | undefined {
-    return this.#nextOffset;
+  override readNextPosition(): LogPosition | undefined {
+    return this.#next;
   }
 
   override readDueInMs(): number {
@@ -109,17 +110,17 @@
 
   override applySnapshot(
     records: readonly KeyedRecord[],
-    endOffset: number,
+    end: LogPosition,
   ): void {
     this.#stored.clear();
-    this.applyRecords(records, endOffset);
+    this.applyRecords(records, end);
   }
 
   override applyRecords(
     records: readonly KeyedRecord[],
-    nextOffset: number,
+    next: LogPosition,
   ): void {
-    this.#nextOffset = nextOffset;
+    this.#next = next;
     for (const { key, value, offset } of records) {
       if (value === undefined) {
         this.#stored.delete(key);
@@ -233,7 +234,7 @@
 
   #isReader(): boolean {
     return this.#options.readReader() !== SUSPICION_READER.none &&
-      this.#nextOffset !== undefined;
+      this.#next !== undefined;
   }
 
   #encode(suspicion: Suspicion): AppendedRecord {
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -1,5 +1,6 @@
 /** Builds and applies the messages by which VMs synchronize their state. */
 
+import { compareLogPositions } from "@limpetford/core/fleet/log_position";
 import { EVIDENCE } from "@limpetford/core/placement/gray_failure_estimator";
 import type { ServerEvidence } from "@limpetford/core/placement/service_placement";
 import type { Clock } from "@limpetford/core/time/clock";
@@ -54,30 +55,21 @@
    * have been built; ages in the message are counted from it
    */
   apply(message: SyncMessage, sentAtMs: number): void {
-    const { state, peers, router, limiter, log, clock } = this.#options;
+    const { state, peers, router, limiter, clock } = this.#options;
     peers.applyMessage(message);
-    this.#applySuspicions(message);
+    this.#options.suspicions.applyUpdate(
+      message.from,
+      this.#findPeer(message),
+      message.suspicions,
+    );
     message.vms?.forEach((vm) => state.applyVm(vm));
-    if (message.configuration !== undefined) {
-      const isNew = state.applyConfiguration({
-        configuration: message.configuration,
-        offset: message.configurationOffset,
-      });
-      if (isNew) {
-        log.record("configuration-in-force", {
-          version: message.configuration.version,
-          offset: message.configurationOffset,
-          source: message.from,
-        });
-      }
-    }
-    if (
-      message.configurationAgeMs !== null &&
-      message.configurationOffset === state.active?.offset
-    ) {
-      state.recordConfigurationFreshness(sentAtMs - message.configurationAgeMs);
+    if (message.storeEra !== undefined) {
+      state.observeStoreEra(message.storeEra);
+      this.#applyConfiguration(message, sentAtMs);
+      this.#applyServers(message, sentAtMs);
+    } else {
+      this.#recordOutdated(message);
     }
-    this.#applyServers(message, sentAtMs);
     const vm = message.from;
     const nowMs = clock.readMonotonicMs();
     if (message.report === undefined) {
@@ -99,37 +91,82 @@
     });
   }
 
-  // Revisions count from the start of the sender's process.
-  #applySuspicions(message: SyncMessage): void {
-    const { state, peers, suspicions } = this.#options;
-    const from = state.findVm(message.from);
-    const peer = from === undefined ? undefined : peers.getPeer(from);
-    if (peer?.startedAtMs === message.startedAtMs) {
-      suspicions.applyUpdate(message.from, peer, message.suspicions);
+  #recordOutdated(message: SyncMessage): void {
+    const peer = this.#findPeer(message);
+    if (peer !== undefined && !peer.isOutdated) {
+      peer.isOutdated = true;
+      this.#options.log.record("peer-outdated", { peer: message.from });
     }
   }
 
-  #applyServers(message: SyncMessage, sentAtMs: number): void {
-    const { state, clock } = this.#options;
-    const { serverChanges, serversOffset, serversAgeMs } = message;
-    if (serverChanges !== undefined) {
-      if (
-        state.servers.applyChanges(serverChanges, {
-          nextOffset: serversOffset,
-          nowMs: clock.readMonotonicMs(),
-        })
-      ) {
-        state.notifyListeners();
-      }
+  #applyConfiguration(message: SyncMessage, sentAtMs: number): void {
+    const { state, log } = this.#options;
+    const { configuration, configurationAgeMs } = message;
+    const { configurationVersion: version, configurationPosition: position } =
+      message;
+    if (position === undefined) {
+      return;
+    }
+    if (
+      configuration !== undefined &&
+      state.applyConfiguration({ configuration, position })
+    ) {
+      log.record("configuration-in-force", {
+        version,
+        offset: position.offset,
+        source: message.from,
+      });
     }
+    state.recordConfigurationPosition(version, position);
     if (
-      serversAgeMs !== null && state.servers.nextOffset >= serversOffset &&
-      serversOffset > 0
+      configurationAgeMs !== null &&
+      version === state.active?.configuration.version
     ) {
-      state.recordServersFreshness(sentAtMs - serversAgeMs);
+      state.recordConfigurationFreshness(sentAtMs - configurationAgeMs);
     }
   }
 
+  // The sender's position and age hold for this VM once it has all changes, but
+  // not before it has read for itself what a returned store has lost.
+  #applyServers(message: SyncMessage, sentAtMs: number): void {
+    const { state, clock } = this.#options;
+    const { changes, isComplete, revision, position, ageMs } = message.servers;
+    if (state.servers.applyChanges(changes, clock.readMonotonicMs())) {
+      state.notifyListeners();
+    }
+    const peer = this.#findPeer(message);
+    if (peer === undefined) {
+      return;
+    }
+    peer.serversSeen = message.servers.seenRevision;
+    peer.serversRevision = Math.max(peer.serversRevision, revision);
+    const own = state.servers.nextPosition;
+    const isSameEra = own === undefined || own.era === position?.era;
+    if (!isComplete || !isSameEra || position === undefined) {
+      return;
+    }
+    const isBehind = own !== undefined &&
+      compareLogPositions(position, own) < 0;
+    state.servers.markRead(position);
+    if (ageMs !== null && !isBehind) {
+      state.recordServersFreshness(sentAtMs - ageMs);
+    }
+  }
+
+  // Revisions count from the start of a process. A message for an earlier process
+  // of this VM says nothing of what this one has.
+  #findPeer(message: SyncMessage): PeerState | undefined {
+    const { self, state, peers } = this.#options;
+    const from = state.findVm(message.from);
+    const peer = from === undefined ? undefined : peers.getPeer(from);
+    const { startedAtMs } = self.incarnation;
+    const isForThisProcess =
+      (message.echo?.startedAtMs ?? startedAtMs) === startedAtMs;
+    return isForThisProcess && peer?.startedAtMs === message.startedAtMs
+      ? peer
+      : undefined;
+  }
+
   /**
    * Builds a message for another VM.
    *
@@ -145,7 +182,7 @@
       this.#options;
     const { active, servers } = state;
     const nowMs = clock.readMonotonicMs();
-    const offset = active?.offset ?? -1;
+    const version = active?.configuration.version ?? -1;
     const isLeader = peers.ownLeaderSinceMs !== undefined;
     const vms = state.listVms();
     // Changes are sent only to a receiver that recently reported its offsets.
@@ -165,28 +202,27 @@
       knowsReceiver: peer !== undefined,
       isLeaving: peers.isLeaving,
       leads: peers.listLeaders().flatMap((vm) => peers.readClaim(vm) ?? []),
-      configurationOffset: offset,
+      storeEra: state.storeEra,
+      configurationVersion: version,
+      ...active === undefined ? {} : { configurationPosition: active.position },
       configurationAgeMs: toMessageAge(state.configurationAgeMs),
-      serversOffset: servers.nextOffset,
-      serversAgeMs: toMessageAge(state.serversAgeMs),
+      servers: {
+        ...servers.listChangesSince(recentPeer?.serversSeen, nowMs),
+        seenRevision: peer?.serversRevision ?? 0,
+        ...servers.nextPosition === undefined
+          ? {}
+          : { position: servers.nextPosition },
+        ageMs: toMessageAge(state.serversAgeMs),
+      },
       vmCount: vms.length,
       suspicions: suspicions.buildUpdate(peer),
       ...recentPeer !== undefined && recentPeer.vmCount !== vms.length
         ? { vms }
         : {},
       ...active !== undefined && recentPeer !== undefined &&
-          recentPeer.configurationOffset < offset
+          (recentPeer.configurationVersion ?? version) < version
         ? { configuration: active.configuration }
         : {},
-      ...recentPeer !== undefined &&
-          recentPeer.serversOffset < servers.nextOffset
-        ? {
-          serverChanges: servers.listChangesSince(
-            recentPeer.serversOffset,
-            nowMs,
-          ),
-        }
-        : {},
       ...isLeader
         ? {
           report: {
--- a/packages/entry/src/fleet/sync_messages_test.ts
+++ b/packages/entry/src/fleet/sync_messages_test.ts
@@ -1,24 +1,15 @@
 import { FakeClock } from "@limpetford/core/time/fake_clock";
-import { SeededRandomSource } from "@limpetford/core/time/random_source";
+import type { AnnouncedServer } from "@limpetford/domain/announced_server";
 import type { FleetConfiguration } from "@limpetford/domain/fleet_configuration";
 import {
-  type RegionId,
+  type ServerId,
+  type ServiceId,
   toId,
   type VmId,
   type ZoneId,
 } from "@limpetford/domain/ids";
-import type { Vm } from "@limpetford/domain/vm";
-import { StoreClient } from "@limpetford/platform/store/store_client";
 
-import { TcpConnectProbe } from "./connect_probe.ts";
-import { CrashProtection } from "./crash_protection.ts";
-import { FleetLog } from "./fleet_log.ts";
-import { FleetPeers } from "./fleet_peers.ts";
-import { FleetState } from "./fleet_state.ts";
-import { PlacementRouter } from "./placement_router.ts";
-import { SharedRateLimiter } from "./shared_rate_limiter.ts";
-import { SUSPICION_READER } from "./suspicions_handler.ts";
-import { SyncMessages } from "./sync_messages.ts";
+import { buildExchangeVm, ExchangeSide } from "../fakes/exchange_side.ts";
 
 const CONFIGURATION: FleetConfiguration = {
   version: 3,
@@ -35,73 +26,23 @@
   hasTeams: true,
 };
 
-function buildVm(id: string, startedAtMs = 1): Vm {
-  return {
-    incarnation: { vm: toId<VmId>(id), startedAtMs },
-    zone: toId<ZoneId>("z"),
-    region: toId<RegionId>("r"),
-    callerAddress: { host: "10.0.0.1", port: 1 },
-    peerAddress: { host: "10.0.0.1", port: 2 },
-    weight: 1,
-  };
-}
-
-// The components of one VM that take part in an exchange.
-class Side {
-  readonly self: Vm;
-  readonly state: FleetState;
-  readonly peers: FleetPeers;
-  readonly messages: SyncMessages;
-  readonly crashes: CrashProtection;
-
-  constructor(id: string, clock: FakeClock, startedAtMs = 1) {
-    this.self = buildVm(id, startedAtMs);
-    this.state = new FleetState(clock);
-    this.state.applyVm(this.self);
-    this.peers = new FleetPeers(this.self, this.state, clock);
-    const log = new FleetLog({ clock, level: "error", vm: id });
-    const { self, state, peers } = this;
-    this.crashes = new CrashProtection({
-      probe: new TcpConnectProbe(),
-      client: new StoreClient({ host: "127.0.0.1", port: 1 }),
-      clock,
-      log,
-      readReader: () => SUSPICION_READER.none,
-      notifyNews: () => undefined,
-    });
-    const router = new PlacementRouter({
-      state,
-      clock,
-      random: new SeededRandomSource(1),
-      log,
-      zone: self.zone,
-      retryBounds: { ratio: 0.2, slack: 60 },
-      guard: this.crashes.guard,
-    });
-    const limiter = new SharedRateLimiter({
-      self,
-      state,
-      peers,
-      clock,
-      log,
-      sendTokenRequest: () => Promise.resolve(undefined),
-      isFirstStart: true,
-      tolerance: 0,
-    });
-    this.messages = new SyncMessages({
-      self,
-      state,
-      peers,
-      router,
-      limiter,
-      suspicions: this.crashes.suspicions,
-      clock,
-      log,
-    });
-  }
-}
+const POSITION = { era: 0, offset: 7 };
+const SERVER: AnnouncedServer = {
+  id: toId<ServerId>("i-1"),
+  service: toId<ServiceId>("s"),
+  zone: toId<ZoneId>("z"),
+  address: { host: "10.0.0.1", port: 80 },
+  slots: 3,
+  state: "active",
+  warmUpLeftMs: 0,
+  startedAtMs: 1,
+  sequence: 1,
+};
 
-function recordCrash(side: Side, fingerprints: readonly string[]): void {
+function recordCrash(
+  side: ExchangeSide,
+  fingerprints: readonly string[],
+): void {
   side.crashes.registry.recordCrash(
     "s1",
     fingerprints.map((fingerprint) => ({
@@ -119,12 +60,12 @@
 // pass for fresh. Receivers that need no update must get small messages.
 describe("SyncMessages", () => {
   let clock: FakeClock;
-  let a: Side;
-  let b: Side;
+  let a: ExchangeSide;
+  let b: ExchangeSide;
   beforeEach(() => {
     clock = new FakeClock();
-    a = new Side("a", clock);
-    b = new Side("b", clock);
+    a = new ExchangeSide("a", clock);
+    b = new ExchangeSide("b", clock);
     clock.advance(1_000);
   });
 
@@ -139,21 +80,28 @@
   }
 
   it("sends a configuration once, with its age", () => {
-    b.state.applyConfiguration({ configuration: CONFIGURATION, offset: 7 });
+    b.state.applyConfiguration({
+      configuration: CONFIGURATION,
+      position: POSITION,
+    });
     b.state.recordConfigurationFreshness(clock.readMonotonicMs());
     clock.advance(200);
     sendExchange();
     expect(a.state.active?.configuration.version).toBe(3);
     expect(a.state.configurationAgeMs).toBe(200);
     const next = b.messages.build(b.peers.getPeer(a.self), []);
-    expect(next.configurationOffset).toBe(7);
+    expect(next.configurationVersion).toBe(3);
+    expect(next.configurationPosition).toEqual(POSITION);
     sendExchange();
     expect(b.messages.build(b.peers.getPeer(a.self), []).configuration)
       .toBeUndefined();
   });
 
   it("counts the ages in a delayed message from its sending", () => {
-    b.state.applyConfiguration({ configuration: CONFIGURATION, offset: 7 });
+    b.state.applyConfiguration({
+      configuration: CONFIGURATION,
+      position: POSITION,
+    });
     sendExchange();
     b.state.recordConfigurationFreshness(clock.readMonotonicMs());
     sendExchange();
@@ -166,7 +114,7 @@
   });
 
   it("sends the records of VMs that the receiver does not know", () => {
-    b.state.applyVm(buildVm("c"));
+    b.state.applyVm(buildExchangeVm("c"));
     sendExchange();
     sendExchange();
     expect(a.state.findVm(toId<VmId>("c"))).toBeDefined();
@@ -174,23 +122,31 @@
 
   it("sends no changes before the receiver has reported its offsets", () => {
     a.state.applyVm(b.self);
-    a.state.applyVm(buildVm("c"));
-    a.state.applyConfiguration({ configuration: CONFIGURATION, offset: 7 });
-    a.state.servers.markRead(40);
+    a.state.applyVm(buildExchangeVm("c"));
+    a.state.applyConfiguration({
+      configuration: CONFIGURATION,
+      position: POSITION,
+    });
+    a.state.servers.applyAnnouncement(SERVER, POSITION);
     const first = a.messages.build(a.peers.getPeer(b.self), []);
     expect(first.configuration).toBeUndefined();
-    expect(first.serverChanges).toBeUndefined();
+    expect(first.servers.changes).toEqual([]);
+    expect(first.servers.isComplete).toBe(false);
     expect(first.vms).toBeUndefined();
     sendExchange();
     const second = a.messages.build(a.peers.getPeer(b.self), []);
     expect(second.configuration).toBeDefined();
-    expect(second.serverChanges).toBeDefined();
+    expect(second.servers.changes).toHaveLength(1);
+    expect(second.servers.isComplete).toBe(true);
   });
 
   it("sends no changes if the receiver's offsets are outdated", () => {
     sendExchange();
     clock.advance(10_000);
-    a.state.applyConfiguration({ configuration: CONFIGURATION, offset: 7 });
+    a.state.applyConfiguration({
+      configuration: CONFIGURATION,
+      position: POSITION,
+    });
     const call = a.messages.build(a.peers.getPeer(b.self), []);
     expect(call.configuration).toBeUndefined();
   });
@@ -224,7 +180,7 @@
     recordCrash(b, ["crashing"]);
     sendExchange();
     sendExchange();
-    a = new Side("a", clock, 2);
+    a = new ExchangeSide("a", clock, 2);
     sendExchange();
     sendExchange();
     expect(a.crashes.registry.findStatus("crashing")).toBe("suspect");
--- a/packages/entry/src/fleet/topic_consumer.ts
+++ b/packages/entry/src/fleet/topic_consumer.ts
@@ -1,5 +1,6 @@
 /** Consumes one topic of the platform's store. */
 
+import type { LogPosition } from "@limpetford/core/fleet/log_position";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { KeyedRecord } from "@limpetford/platform/store/log_records";
 import type { StoreClient } from "@limpetford/platform/store/store_client";
@@ -26,12 +27,12 @@
   abstract readonly waitMs: number;
 
   /**
-   * Returns the offset of the next record to read. It also advances with data
+   * Returns the position of the next record to read. It also advances with data
    * that other VMs have sent.
    *
-   * @returns the offset; undefined to load a snapshot first
+   * @returns the position; undefined to load a snapshot first
    */
-  abstract readNextOffset(): number | undefined;
+  abstract readNextPosition(): LogPosition | undefined;
 
   /**
    * Returns the time until the next read is due. It grows when other VMs send
@@ -45,22 +46,22 @@
    * Applies a snapshot: the newest record of each key.
    *
    * @param records - the records; a key without one has been removed
-   * @param endOffset - offset of the next record to read
+   * @param end - position of the next record to read
    */
   abstract applySnapshot(
     records: readonly KeyedRecord[],
-    endOffset: number,
+    end: LogPosition,
   ): void;
 
   /**
    * Applies records in log order.
    *
    * @param records - the records; one without a value removes its key
-   * @param nextOffset - offset of the next record to read
+   * @param next - position of the next record to read
    */
   abstract applyRecords(
     records: readonly KeyedRecord[],
-    nextOffset: number,
+    next: LogPosition,
   ): void;
 
   /**
@@ -131,19 +132,20 @@
   async #readOnce(): Promise<StoreError | undefined> {
     const { topic, waitMs } = this.#handler;
     const sentAtMs = this.#options.clock.readMonotonicMs();
-    const from = this.#handler.readNextOffset();
-    if (from === undefined) {
+    const from = this.#handler.readNextPosition();
+    if (from === undefined || from.era < this.#options.client.era) {
       return await this.#loadSnapshot(sentAtMs);
     }
     const part = await this.#options.client.readLog(topic, { from, waitMs });
     if (!part.ok) {
-      return part.error.kind === "expired"
+      const { kind } = part.error;
+      return kind === "expired" || kind === "era-changed"
         ? await this.#loadSnapshot(sentAtMs)
         : part.error;
     }
-    const { records, nextOffset, endOffset } = part.value;
-    this.#handler.applyRecords(records, nextOffset);
-    if (nextOffset >= endOffset) {
+    const { records, next, end } = part.value;
+    this.#handler.applyRecords(records, next);
+    if (next.offset >= end.offset) {
       this.#handler.recordFreshness(sentAtMs);
     }
     return undefined;
@@ -155,12 +157,26 @@
     if (!snapshot.ok) {
       return snapshot.error;
     }
-    const { records, endOffset } = snapshot.value;
-    this.#handler.applySnapshot(records, endOffset);
+    const { records, end } = snapshot.value;
+    this.#checkEra(end);
+    this.#handler.applySnapshot(records, end);
     this.#handler.recordFreshness(sentAtMs);
     return undefined;
   }
 
+  #checkEra(end: LogPosition): void {
+    const before = this.#handler.readNextPosition();
+    if (before !== undefined && before.era < end.era) {
+      this.#options.log.record("store-returned", {
+        topic: this.#handler.topic,
+        eraBefore: before.era,
+        offsetBefore: before.offset,
+        era: end.era,
+        offset: end.offset,
+      });
+    }
+  }
+
   #recordSuccess(): void {
     if (this.#failures > 0) {
       this.#options.log.record("store-regained", {
--- a/packages/entry/src/fleet/topic_consumer_test.ts
+++ b/packages/entry/src/fleet/topic_consumer_test.ts
@@ -10,7 +10,7 @@
   override readonly waitMs = 0;
   dueChecks = 0;
 
-  override readNextOffset(): undefined {
+  override readNextPosition(): undefined {
     return undefined;
   }
 
--- a/packages/peer/src/fleet_sync.ts
+++ b/packages/peer/src/fleet_sync.ts
@@ -1,6 +1,7 @@
 /** Messages through which the VMs of a fleet synchronize their state. */
 
-import type { ServerChange } from "@limpetford/core/fleet/announced_servers";
+import type { ServerChanges } from "@limpetford/core/fleet/announced_servers";
+import type { LogPosition } from "@limpetford/core/fleet/log_position";
 import type { SuspicionStatus } from "@limpetford/core/quarantine/suspicion";
 import type { FleetConfiguration } from "@limpetford/domain/fleet_configuration";
 import type { VmId } from "@limpetford/domain/ids";
@@ -85,6 +86,16 @@
   readonly clockMs: number;
 }
 
+/** Server states that the receiver lacks, by revisions of both sides. */
+export interface ServersUpdate extends ServerChanges {
+  /** Revision of the receiver's servers up to which the sender has them. */
+  readonly seenRevision: number;
+  /** Position of the next record that the sender will read; absent if none. */
+  readonly position?: LogPosition;
+  /** Like `configurationAgeMs`, for the server announcements. */
+  readonly ageMs: number | null;
+}
+
 /** State of the sender, and the changes that the receiver does not have yet. */
 export interface SyncMessage {
   readonly from: VmId;
@@ -104,21 +115,24 @@
   readonly isLeaving: boolean;
   /** Claims of the VMs that serve callers, as far as the sender knows. */
   readonly leads: readonly LeadClaim[];
-  /** Log offset of the sender's configuration; -1 if it has none. */
-  readonly configurationOffset: number;
+  /**
+   * Era of the store as far as the sender knows; absent in messages of VMs that
+   * run an earlier version, whose configuration and servers are not read.
+   */
+  readonly storeEra?: number;
+  /** Version of the sender's configuration; -1 if it has none. */
+  readonly configurationVersion: number;
+  /** Where the log keeps that configuration; absent if it has none. */
+  readonly configurationPosition?: LogPosition;
   /**
    * Time since the configuration was last known to be the newest, in
    * milliseconds; null if it never was.
    */
   readonly configurationAgeMs: number | null;
-  /** Log offset up to which the sender has all server announcements. */
-  readonly serversOffset: number;
-  /** Like `configurationAgeMs`, for the server announcements. */
-  readonly serversAgeMs: number | null;
+  readonly servers: ServersUpdate;
   /** Number of VMs that the sender knows. */
   readonly vmCount: number;
   readonly configuration?: FleetConfiguration;
-  readonly serverChanges?: readonly ServerChange[];
   readonly vms?: readonly Vm[];
   readonly report?: ServingReport;
   /** Absent in messages of VMs that run an earlier version. */
--- a/packages/platform/src/store/store_client.ts
+++ b/packages/platform/src/store/store_client.ts
@@ -1,5 +1,6 @@
 /** HTTP client of the platform's store of keyed topics. */
 
+import type { LogPosition } from "@limpetford/core/fleet/log_position";
 import type { Result } from "@limpetford/domain/result";
 import { makeError, makeOk } from "@limpetford/domain/result";
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
@@ -10,10 +11,9 @@
   decodeRecordBatch,
   encodeKeyedRecord,
   type KeyedRecord,
-  type RecordBatch,
 } from "./log_records.ts";
 import type { StoreError } from "./store_error.ts";
-import type { Topic } from "./wire_names.ts";
+import { type Topic, WIRE_HEADER } from "./wire_names.ts";
 
 const CALL_TIMEOUT_MS = 1_000;
 const CONNECT_TIMEOUT_MS = 500;
@@ -33,6 +33,8 @@
   "UND_ERR_CONNECT_TIMEOUT",
 ]);
 
+const ERA_PATTERN = /^\d{1,15}$/;
+
 const newestSchema = z.object({
   items: z.array(z.object({
     key: z.string(),
@@ -47,13 +49,22 @@
 /** The newest record of each key of a topic. */
 export interface TopicSnapshot {
   readonly records: readonly KeyedRecord[];
-  /** Offset from which to read the log after applying the snapshot. */
-  readonly endOffset: number;
+  /** Position from which to read the log after applying the snapshot. */
+  readonly end: LogPosition;
 }
 
-/** First offset and wait time of a read. */
+/** Consecutive records of a topic, and where they were read. */
+export interface LogPart {
+  readonly records: readonly KeyedRecord[];
+  /** Position after the last of these records. */
+  readonly next: LogPosition;
+  /** Position after the last record of the topic. */
+  readonly end: LogPosition;
+}
+
+/** First position and wait time of a read. */
 export interface LogReadOptions {
-  readonly from: number;
+  readonly from: LogPosition;
   /** Long-poll time for a first record, in milliseconds; 0 returns at once. */
   readonly waitMs: number;
 }
@@ -69,6 +80,7 @@
 interface StoreResponse {
   readonly status: number;
   readonly bytes: Buffer;
+  readonly era: number;
 }
 
 /**
@@ -80,6 +92,7 @@
   readonly #origin: string;
   #agent = createAgent();
   #callCount = 0;
+  #era = 0;
 
   /**
    * Creates a client; it connects on its first call.
@@ -99,6 +112,15 @@
     return this.#callCount;
   }
 
+  /**
+   * Highest era of the store in any answer so far.
+   *
+   * @returns number of returns from an older copy; 0 before the first answer
+   */
+  get era(): number {
+    return this.#era;
+  }
+
   /**
    * Fetches the newest record of each key of a topic, page by page.
    *
@@ -111,6 +133,7 @@
     const records: KeyedRecord[] = [];
     let after: string | undefined;
     let endOffset: number | undefined;
+    let era: number | undefined;
     for (let page = 0; page < MAX_PAGES; page++) {
       const response = await this.#send({
         method: "GET",
@@ -125,6 +148,10 @@
       if (!response.ok) {
         return response;
       }
+      era ??= response.value.era;
+      if (response.value.era !== era) {
+        return makeError({ kind: "era-changed", era: response.value.era });
+      }
       const parsed = newestSchema.safeParse(parseJson(response.value.bytes));
       if (!parsed.success) {
         return makeError({ kind: "malformed", cause: parsed.error.message });
@@ -138,7 +165,7 @@
       }
       after = items.at(-1)?.key;
       if (!hasMore || after === undefined) {
-        return makeOk({ records, endOffset });
+        return makeOk({ records, end: { era, offset: endOffset } });
       }
     }
     return makeError({
@@ -157,14 +184,15 @@
   async readLog(
     topic: Topic,
     options: LogReadOptions,
-  ): Promise<Result<RecordBatch, StoreError>> {
+  ): Promise<Result<LogPart, StoreError>> {
+    const { era, offset } = options.from;
     const response = await this.#send({
       method: "GET",
       path: "/log-read",
       query: {
         topic,
         part: KEYED_PARTITION,
-        from: String(options.from),
+        from: String(offset),
         wait_ms: String(options.waitMs),
       },
       timeoutMs: CALL_TIMEOUT_MS + options.waitMs,
@@ -172,10 +200,17 @@
     if (!response.ok) {
       return response;
     }
-    const batch = decodeRecordBatch(response.value.bytes, options.from);
+    if (response.value.era !== era) {
+      return makeError({ kind: "era-changed", era: response.value.era });
+    }
+    const batch = decodeRecordBatch(response.value.bytes, offset);
     return batch === undefined
       ? makeError({ kind: "malformed", cause: "response is truncated" })
-      : makeOk(batch);
+      : makeOk({
+        records: batch.records,
+        next: { era, offset: batch.nextOffset },
+        end: { era, offset: batch.endOffset },
+      });
   }
 
   /**
@@ -235,13 +270,29 @@
         signal: AbortSignal.timeout(call.timeoutMs),
       });
       const bytes = Buffer.from(await response.body.arrayBuffer());
-      return checkStatus({ status: response.statusCode, bytes });
+      const era = parseEra(response.headers[WIRE_HEADER.storeEra]);
+      return this.#checkEra(era, { status: response.statusCode, bytes });
     } catch (error) {
       this.#renewAgent(agent);
       return makeError(convertCallError(error));
     }
   }
 
+  // An answer that was delayed since before the last return is of no use.
+  #checkEra(
+    era: number | undefined,
+    response: Omit<StoreResponse, "era">,
+  ): Result<StoreResponse, StoreError> {
+    if (era === undefined) {
+      return makeError({ kind: "malformed", cause: "era is not a number" });
+    }
+    this.#era = Math.max(this.#era, era);
+    const checked = checkStatus({ ...response, era });
+    return checked.ok && era < this.#era
+      ? makeError({ kind: "era-changed", era: this.#era })
+      : checked;
+  }
+
   #renewAgent(failed: Agent): void {
     if (this.#agent === failed) {
       this.#agent = createAgent();
@@ -280,6 +331,16 @@
   );
 }
 
+// A store that has never returned from a copy need not state an era.
+function parseEra(value: string | string[] | undefined): number | undefined {
+  if (value === undefined) {
+    return 0;
+  }
+  return typeof value === "string" && ERA_PATTERN.test(value)
+    ? Number(value)
+    : undefined;
+}
+
 function convertCallError(error: unknown): StoreError {
   const cause = error instanceof Error ? error.message : String(error);
   const code = typeof error === "object" && error !== null && "code" in error
--- a/packages/platform/src/store/store_error.ts
+++ b/packages/platform/src/store/store_error.ts
@@ -8,6 +8,8 @@
   | { readonly kind: "no-answer"; readonly cause: string }
   /** The requested records have expired; `firstOffset` is the oldest left. */
   | { readonly kind: "expired"; readonly firstOffset: number }
+  /** The store has returned from an older copy; `era` is the present one. */
+  | { readonly kind: "era-changed"; readonly era: number }
   /** The response cannot be parsed. */
   | { readonly kind: "malformed"; readonly cause: string };
 
@@ -18,7 +20,14 @@
  * @returns its kind and cause on one line
  */
 export function formatStoreError(error: StoreError): string {
-  return error.kind === "expired"
-    ? `expired: first offset is ${error.firstOffset}`
-    : `${error.kind}: ${error.cause}`;
+  switch (error.kind) {
+    case "expired":
+      return `expired: first offset is ${error.firstOffset}`;
+    case "era-changed":
+      return `era-changed: the store is in era ${error.era}`;
+    case "not-done":
+    case "no-answer":
+    case "malformed":
+      return `${error.kind}: ${error.cause}`;
+  }
 }
--- a/packages/platform/src/store/wire_names.ts
+++ b/packages/platform/src/store/wire_names.ts
@@ -32,6 +32,8 @@
   /** Present if the backend server did not execute the request. */
   notRun: "not-executed",
   retryAfter: "retry-after",
+  /** Number of times that the store has returned from an older copy. */
+  storeEra: "store-era",
 } as const;
 
 /** Paths that a VM serves on its directory and readiness addresses. */
--- a/packages/platform/src/store/wire_names_test.ts
+++ b/packages/platform/src/store/wire_names_test.ts
@@ -11,6 +11,7 @@
   [
     "keyed\\.(op|servers|vms|status|suspicions)",
     "/log-(append|read|newest|join|leave|commit|owners|trim)",
+    "store-era",
     "server-signature",
     "expected-instance",
     "not-executed",
--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -15,11 +15,12 @@
   sendRequest,
 } from "../platform/caller_client.ts";
 import {
+  type ConfigurationOverrides,
   publishConfiguration,
   publishServer,
 } from "../platform/published_records.ts";
 import { ServerStandin } from "../platform/server_standin.ts";
-import { StoreStandin } from "../platform/store_standin.ts";
+import { type StoreCopy, StoreStandin } from "../platform/store_standin.ts";
 import { TcpFaultProxy } from "../platform/tcp_fault_proxy.ts";
 import { VmProcessHandle } from "./vm_process_handle.ts";
 
@@ -30,6 +31,8 @@
 /** Time within which a process must exit after SIGTERM, in seconds. */
 export const GRACE_PERIOD_SECONDS = 4;
 const POLL_MS = 50;
+/** Time after a return of the store until the operator has written again. */
+const CONFIGURATION_REWRITE_MS = 800;
 const DEFAULT_TIMEOUT_MS = 15_000;
 
 /** Settings shared by all processes of a fleet. */
@@ -54,6 +57,7 @@
   #settingsDirectory = "";
   #announceTimer: NodeJS.Timeout | undefined;
   #sequence = 0;
+  #configurationVersion = 0;
 
   /**
    * Creates a fleet without starting anything.
@@ -88,7 +92,7 @@
     this.#announceTimer = setInterval(() => {
       this.#publishServers();
     }, 300);
-    publishConfiguration(this.store, 1);
+    this.publishNextConfiguration();
     this.#settingsDirectory = await fs.mkdtemp(
       path.join(os.tmpdir(), "fleet-"),
     );
@@ -133,6 +137,29 @@
     this.#publishServers();
   }
 
+  /**
+   * Returns the store to a copy. The operator writes its configuration again
+   * after a while, and the backend servers go on announcing themselves.
+   *
+   * @param copy - copy of the store
+   */
+  returnStore(copy: StoreCopy): void {
+    this.store.restore(copy);
+    setTimeout(() => {
+      publishConfiguration(this.store, this.#configurationVersion);
+    }, CONFIGURATION_REWRITE_MS).unref();
+  }
+
+  /**
+   * Publishes a new version of the configuration.
+   *
+   * @param overrides - deviations from the default configuration
+   */
+  publishNextConfiguration(overrides: ConfigurationOverrides = {}): void {
+    this.#configurationVersion += 1;
+    publishConfiguration(this.store, this.#configurationVersion, overrides);
+  }
+
   /**
    * Starts a VM's process again unless it is running. Its settings then no
    * longer mark a first start.
--- a/packages/standins/src/platform/store_standin.ts
+++ b/packages/standins/src/platform/store_standin.ts
@@ -35,6 +35,9 @@
   readonly waiters: Set<() => void>;
 }
 
+/** State of the store at some time, to return to. */
+export type StoreCopy = ReadonlyMap<string, StoredTopic>;
+
 /** Faults of the store. */
 export const STORE_FAULT = {
   none: "none",
@@ -57,6 +60,12 @@
 export class StoreStandin {
   fault: StoreFault = STORE_FAULT.none;
   requestCount = 0;
+  /** Number of returns from a copy so far, sent with each answer. */
+  era = 0;
+  /** Sent in place of the era, if set. */
+  eraHeader: string | undefined;
+  /** Called after each request, with the number of requests so far. */
+  answerListener: ((count: number) => void) | undefined;
   readonly #topics = new Map<string, StoredTopic>();
   readonly #sockets = new Set<Socket>();
   readonly #server = http.createServer((request, response) => {
@@ -160,6 +169,45 @@
     return [...this.#getTopic(topic).latestByKey.keys()];
   }
 
+  /**
+   * Copies all topics.
+   *
+   * @returns the copy, for `restore`
+   */
+  buildCopy(): StoreCopy {
+    return new Map([...this.#topics].map(([name, topic]) => [
+      name,
+      {
+        firstOffset: topic.firstOffset,
+        records: [...topic.records],
+        latestByKey: new Map(topic.latestByKey),
+        waiters: new Set(),
+      },
+    ]));
+  }
+
+  /**
+   * Returns from a copy: what was written since is lost, offsets are given out
+   * again, and pending long polls end.
+   *
+   * @param copy - copy made by `buildCopy`
+   */
+  restore(copy: StoreCopy): void {
+    this.era += 1;
+    for (const [name, topic] of this.#topics) {
+      const copied = copy.get(name);
+      topic.firstOffset = copied?.firstOffset ?? 0;
+      topic.records.splice(0, Infinity, ...copied?.records ?? []);
+      topic.latestByKey.clear();
+      for (const [key, latest] of copied?.latestByKey ?? []) {
+        topic.latestByKey.set(key, latest);
+      }
+      for (const wake of topic.waiters) {
+        wake();
+      }
+    }
+  }
+
   #getTopic(name: string): StoredTopic {
     const existing = this.#topics.get(name);
     if (existing !== undefined) {
@@ -180,6 +228,9 @@
     response: http.ServerResponse,
   ): Promise<void> {
     this.requestCount += 1;
+    response.setHeader("store-era", this.eraHeader ?? String(this.era));
+    const count = this.requestCount;
+    response.on("finish", () => this.answerListener?.(count));
     const chunks: Buffer[] = [];
     for await (const chunk of request) {
       chunks.push(chunk as Buffer);
@@ -268,13 +319,15 @@
   ): Promise<void> {
     const { query, response } = storeRequest;
     const from = Number(query.get("from"));
-    if (from < stored.firstOffset) {
+    const lastOffset = stored.firstOffset + stored.records.length;
+    if (from < stored.firstOffset || from > lastOffset) {
       sendJson(response, STATUS_GONE, { first_offset: stored.firstOffset });
       return;
     }
     const waitMs = Number(query.get("wait_ms") ?? 0);
     if (from >= stored.firstOffset + stored.records.length && waitMs > 0) {
       await waitForRecord(stored, waitMs);
+      response.setHeader("store-era", String(this.era));
     }
     const header = Buffer.alloc(16);
     const end = stored.firstOffset + stored.records.length;
--- a/packages/standins/src/platform/suspicion_store_test.ts
+++ b/packages/standins/src/platform/suspicion_store_test.ts
@@ -59,8 +59,8 @@
     if (!snapshot.ok) {
       throw new Error("the store stand-in gave no snapshot");
     }
-    const { records, endOffset } = snapshot.value;
-    this.handler.applySnapshot(records, endOffset);
+    const { records, end } = snapshot.value;
+    this.handler.applySnapshot(records, end);
   }
 }
 
--- a/packages/standins/src/process_soak/fault_injector.ts
+++ b/packages/standins/src/process_soak/fault_injector.ts
@@ -62,6 +62,12 @@
         return () => {
           store.fault = STORE_FAULT.none;
         };
+      case "store-returns": {
+        const copy = store.buildCopy();
+        return () => {
+          this.#fleet.returnStore(copy);
+        };
+      }
       case "history-dropped":
         store.dropAllHistory();
         return () => undefined;
--- a/packages/standins/src/process_soak/process_fault.ts
+++ b/packages/standins/src/process_soak/process_fault.ts
@@ -36,7 +36,9 @@
   }
   | { readonly kind: "server-leaves"; readonly server: number }
   | { readonly kind: "server-crash"; readonly server: number }
-  | { readonly kind: "history-dropped" };
+  | { readonly kind: "history-dropped" }
+  /** The store is copied at the start, and returns to the copy at the end. */
+  | { readonly kind: "store-returns" };
 
 /** A fault with its start and duration. */
 export interface ScheduledFault {
@@ -105,6 +107,7 @@
     () => ({ kind: "server-leaves", server }),
     () => ({ kind: "server-crash", server }),
     () => ({ kind: "history-dropped" }),
+    () => ({ kind: "store-returns" }),
   ];
   const generate = generators[random.pickIndex(generators.length)];
   return generate === undefined ? { kind: "power-loss" } : generate();
