--- a/packages/entry/src/fleet/fleet_gauges.ts
+++ b/packages/entry/src/fleet/fleet_gauges.ts
@@ -38,6 +38,11 @@
     "age of the proof that the configuration is the newest",
     () => state.configurationAgeMs / MS_PER_S,
   );
+  metrics.addGauge(
+    "store_era",
+    "times that the store has returned from an older copy",
+    () => state.storeEra,
+  );
   metrics.addGauge(
     "servers_age_seconds",
     "age of the proof that the list of backend servers is complete",
