--- a/packages/entry/src/fleet/crash_guard_test.ts
+++ b/packages/entry/src/fleet/crash_guard_test.ts
@@ -1,14 +1,8 @@
 import { SuspicionRegistry } from "@limpetford/core/quarantine/suspicion_registry";
 import { FakeClock } from "@limpetford/core/time/fake_clock";
-import {
-  type RequestId,
-  type RouteId,
-  type ServerId,
-  type ServiceId,
-  toId,
-} from "@limpetford/domain/ids";
-import { ROUTE_ACCESS } from "@limpetford/domain/route";
+import { type ServerId, toId } from "@limpetford/domain/ids";
 
+import { buildPlacementRequest } from "../fakes/placement_request.ts";
 import type {
   AttemptOutcome,
   PlacementRequest,
@@ -70,33 +64,11 @@
     signal = new AbortController().signal,
   ): PlacementRequest {
     count += 1;
-    return {
-      context: {
-        id: toId<RequestId>(`sending-${count}`),
-        route: {
-          id: toId<RouteId>("read"),
-          method: "*",
-          pathPrefix: "/read/",
-          service: toId<ServiceId>("bands"),
-          isIdempotent: true,
-          access: ROUTE_ACCESS.open,
-          deadlineMs: 1_000,
-          bodyLimitBytes: 1_000,
-          derivedKeyWindowMs: 0,
-        },
-        team: undefined,
-        method: "GET",
-        target: "/read/1",
-        receivedAtMs: 0,
-        deadlineAtMs: 1_000,
-        isPassedOn: false,
-      },
+    return buildPlacementRequest(`sending-${count}`, {
       fingerprint: REQUEST,
-      tried: [],
       attempt,
-      isHedge: false,
       signal,
-    };
+    });
   }
 
   function complete(
--- a/packages/entry/src/fleet/crash_observer_test.ts
+++ b/packages/entry/src/fleet/crash_observer_test.ts
@@ -1,17 +1,8 @@
 import { FakeClock } from "@limpetford/core/time/fake_clock";
-import {
-  type RequestId,
-  type RouteId,
-  type ServerId,
-  type ServiceId,
-  toId,
-} from "@limpetford/domain/ids";
-import { ROUTE_ACCESS } from "@limpetford/domain/route";
+import { type ServerId, toId } from "@limpetford/domain/ids";
 
-import type {
-  AttemptOutcome,
-  PlacementRequest,
-} from "../ports/server_router.ts";
+import { buildPlacementRequest } from "../fakes/placement_request.ts";
+import type { AttemptOutcome } from "../ports/server_router.ts";
 import { ConnectProbe, type ConnectResult } from "./connect_probe.ts";
 import { CrashObserver, type ServerCrash } from "./crash_observer.ts";
 import { FleetLog } from "./fleet_log.ts";
@@ -37,36 +28,6 @@
   }
 }
 
-function buildRequest(fingerprint: string): PlacementRequest {
-  return {
-    context: {
-      id: toId<RequestId>(`request-${fingerprint}`),
-      route: {
-        id: toId<RouteId>("read"),
-        method: "*",
-        pathPrefix: "/read/",
-        service: toId<ServiceId>("bands"),
-        isIdempotent: true,
-        access: ROUTE_ACCESS.open,
-        deadlineMs: 1_000,
-        bodyLimitBytes: 1_000,
-        derivedKeyWindowMs: 0,
-      },
-      team: undefined,
-      method: "GET",
-      target: "/read/1",
-      receivedAtMs: 0,
-      deadlineAtMs: 1_000,
-      isPassedOn: false,
-    },
-    fingerprint,
-    tried: [],
-    attempt: 1,
-    isHedge: false,
-    signal: new AbortController().signal,
-  };
-}
-
 class Harness {
   readonly clock = new FakeClock();
   readonly crashes: ServerCrash[] = [];
@@ -90,7 +51,7 @@
   ): Promise<void> {
     void this.observer.observe({
       server: SERVER,
-      request: buildRequest(fingerprint),
+      request: buildPlacementRequest(`request-${fingerprint}`, { fingerprint }),
       sample: {
         outcome,
         firstByteMs,
--- a/packages/entry/src/fleet/fleet_state_test.ts
+++ b/packages/entry/src/fleet/fleet_state_test.ts
@@ -1,25 +1,8 @@
 import { FakeClock } from "@limpetford/core/time/fake_clock";
-import type { FleetConfiguration } from "@limpetford/domain/fleet_configuration";
 
+import { buildEmptyConfiguration } from "../fakes/empty_configuration.ts";
 import { FleetState } from "./fleet_state.ts";
 
-function buildConfiguration(version: number): FleetConfiguration {
-  return {
-    version,
-    routes: [],
-    services: [],
-    teams: [],
-    keys: [],
-    callerLimits: {
-      headerBytes: 1,
-      bodyBytes: 1,
-      headerTimeoutMs: 1,
-      idleTimeoutMs: 1,
-    },
-    hasTeams: true,
-  };
-}
-
 // Guards against a read of a store that has returned from an older copy being
 // taken for proof that no key was withdrawn since.
 describe("FleetState", () => {
@@ -31,7 +14,7 @@
     clock.advance(1_000);
     state.observeStoreEra(0);
     state.applyConfiguration({
-      configuration: buildConfiguration(9),
+      configuration: buildEmptyConfiguration(9),
       position: { era: 0, offset: 40 },
     });
   });
@@ -43,7 +26,7 @@
   it("proves nothing while the store has an older configuration", () => {
     state.observeStoreEra(1);
     state.applyConfiguration({
-      configuration: buildConfiguration(8),
+      configuration: buildEmptyConfiguration(8),
       position: { era: 1, offset: 38 },
     });
     clock.advance(60_000);
@@ -55,7 +38,7 @@
     state.observeStoreEra(1);
     const position = { era: 1, offset: 38 };
     state.applyConfiguration({
-      configuration: buildConfiguration(9),
+      configuration: buildEmptyConfiguration(9),
       position,
     });
     clock.advance(2_299);
@@ -67,7 +50,7 @@
   it("follows a newer version at a lower offset", () => {
     state.observeStoreEra(1);
     const position = { era: 1, offset: 3 };
-    const configuration = buildConfiguration(10);
+    const configuration = buildEmptyConfiguration(10);
     expect(state.applyConfiguration({ configuration, position })).toBe(true);
     expect(state.active?.configuration.version).toBe(10);
   });
@@ -76,7 +59,7 @@
     state.observeStoreEra(1);
     const position = { era: 1, offset: 38 };
     state.applyConfiguration({
-      configuration: buildConfiguration(9),
+      configuration: buildEmptyConfiguration(9),
       position,
     });
     state.markStoreEraSettled(1);
--- a/packages/entry/src/fleet/sync_messages_test.ts
+++ b/packages/entry/src/fleet/sync_messages_test.ts
@@ -1,6 +1,5 @@
 import { FakeClock } from "@limpetford/core/time/fake_clock";
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import type { FleetConfiguration } from "@limpetford/domain/fleet_configuration";
 import {
   type ServerId,
   type ServiceId,
@@ -9,23 +8,10 @@
   type ZoneId,
 } from "@limpetford/domain/ids";
 
+import { buildEmptyConfiguration } from "../fakes/empty_configuration.ts";
 import { buildExchangeVm, ExchangeSide } from "../fakes/exchange_side.ts";
 
-const CONFIGURATION: FleetConfiguration = {
-  version: 3,
-  routes: [],
-  services: [],
-  teams: [],
-  keys: [],
-  callerLimits: {
-    headerBytes: 1,
-    bodyBytes: 1,
-    headerTimeoutMs: 1,
-    idleTimeoutMs: 1,
-  },
-  hasTeams: true,
-};
-
+const CONFIGURATION = buildEmptyConfiguration(3);
 const POSITION = { era: 0, offset: 7 };
 const SERVER: AnnouncedServer = {
   id: toId<ServerId>("i-1"),
