--- a/packages/standins/src/platform/suspicion_store_test.ts
+++ b/packages/standins/src/platform/suspicion_store_test.ts
@@ -166,6 +166,25 @@
     expect(await readStatus()).toBe("quarantined");
   });
 
+  it("are written again after the store has returned from a copy", async () => {
+    const copy = store.buildCopy();
+    const reader = startVm(SUSPICION_READER.first);
+    await reader.loadSnapshot();
+    reader.recordCrash("s1");
+    reader.clock.advance(400);
+    reader.recordCrash("s2");
+    await waitWritten(reader);
+    expect(await readStatus()).toBe("quarantined");
+    store.restore(copy);
+    expect(await readStatus()).toBe("cleared");
+    await reader.loadSnapshot();
+    expect(reader.registry.findStatus(REQUEST)).toBe("quarantined");
+    await waitWritten(reader);
+    reader.clock.advance(3_000);
+    await waitWritten(reader);
+    expect(await readStatus()).toBe("quarantined");
+  });
+
   it("are removed after a day, but for quarantines", async () => {
     const vm = startVm(SUSPICION_READER.first);
     await vm.loadSnapshot();
