--- a/packages/core/src/limits/team_shares_test.ts
+++ b/packages/core/src/limits/team_shares_test.ts
@@ -36,6 +36,24 @@
     ));
   });
 
+  // Each leader counts its own demand at once, and that of the others as they
+  // reported it last.
+  it.failing.each([2, 3, 8])(
+    "computes shares that add up to one when a team appears at %i leaders at once",
+    (count) => {
+      const sum = Array.from({ length: count }, (_, index) => {
+        const shares = new TeamShares(0);
+        for (let other = 0; other < count; other++) {
+          if (other !== index) {
+            shares.recordPeerDemand(toId<VmId>(`vm-${other}`), new Map(), 0);
+          }
+        }
+        return shares.computeShare(TEAM, { rate: 5, leaderCount: count }, 100);
+      }).reduce((total, share) => total + share, 0);
+      expect(sum).toBeLessThanOrEqual(1 + 1e-9);
+    },
+  );
+
   it("reserves shares for leaders that have not reported yet", () => {
     const shares = new TeamShares(0);
     expect(shares.computeShare(TEAM, { rate: 5, leaderCount: 3 }, 0))
