feat(entry): log and count the rate limits that backend servers name

The header Server-Limit is decoded in the adapter (decimal number, none, or unreadable); server-limit-named, server-limit-unreadable and the gauge limited_servers tell what this VM has seen. No decision depends on it yet.

Ruled out: that any code read the header before (searched for its name). Tests: 147 of entry and platform pass; 14 cases of the header are new.

--- /dev/null
+++ b/packages/core/src/limits/server_limit_registry.ts
@@ -0,0 +1,94 @@
+/** What a VM knows of the rate limits that backend servers name. */
+
+import type { ServerId } from "@limpetford/domain/ids";
+
+/** Time for which the end of a limit is remembered, to be told to other VMs. */
+const ENDED_KEPT_MS = 10_000;
+
+/** Rate limit of one start of a backend server, or the end of one. */
+export interface ServerLimit {
+  /** Wall-clock start time of the server that named it, in milliseconds. */
+  readonly startedAtMs: number;
+  /** For all VMs together; undefined if the limit has ended. */
+  readonly requestsPerSecond: number | undefined;
+  /** Monotonic time of this VM at which it was last known to hold. */
+  readonly knownAtMs: number;
+}
+
+/** Holds the newest known limit of each server. */
+export class ServerLimitRegistry {
+  readonly #limits = new Map<ServerId, ServerLimit>();
+
+  /**
+   * Counts the servers with a limit.
+   *
+   * @returns number of servers
+   */
+  get limitedCount(): number {
+    return [...this.#limits.values()].filter((limit) =>
+      limit.requestsPerSecond !== undefined
+    ).length;
+  }
+
+  /**
+   * Lists all limits, and the ends of limits that are still remembered.
+   *
+   * @returns servers and their limits
+   */
+  list(): readonly (readonly [ServerId, ServerLimit])[] {
+    return [...this.#limits];
+  }
+
+  /**
+   * Finds what is known of a server's limit.
+   *
+   * @param server - the server
+   * @param startedAtMs - its start; the limit of another start does not hold
+   * @returns the limit or its end; undefined if nothing is known
+   */
+  find(server: ServerId, startedAtMs: number): ServerLimit | undefined {
+    const known = this.#limits.get(server);
+    return known?.startedAtMs === startedAtMs ? known : undefined;
+  }
+
+  /**
+   * Applies what was learned of a server's limit, unless something newer or a
+   * later start of the server is known.
+   *
+   * @param server - the server
+   * @param limit - its limit, or the end of it
+   * @returns true if the limit in force has changed
+   */
+  apply(server: ServerId, limit: ServerLimit): boolean {
+    const known = this.#limits.get(server);
+    const isOutdated = known !== undefined &&
+      (limit.startedAtMs < known.startedAtMs ||
+        (limit.startedAtMs === known.startedAtMs &&
+          limit.knownAtMs <= known.knownAtMs));
+    if (isOutdated) {
+      return false;
+    }
+    this.#limits.set(server, limit);
+    const before = known?.startedAtMs === limit.startedAtMs
+      ? known.requestsPerSecond
+      : undefined;
+    return before !== limit.requestsPerSecond;
+  }
+
+  /**
+   * Drops limits of servers that are gone or have restarted, and ends of limits
+   * that every VM has heard of.
+   *
+   * @param startedAtMs - start of each present server
+   * @param nowMs - monotonic time
+   */
+  expire(startedAtMs: ReadonlyMap<ServerId, number>, nowMs: number): void {
+    for (const [server, limit] of this.#limits) {
+      const isEnded = limit.requestsPerSecond === undefined &&
+        nowMs - limit.knownAtMs > ENDED_KEPT_MS;
+      if (isEnded || startedAtMs.get(server) !== limit.startedAtMs) {
+        this.#limits.delete(server);
+      }
+    }
+  }
+}
--- a/packages/entry/src/fakes/exchange_side.ts
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -16,7 +16,7 @@
 import { FleetLog } from "../fleet/fleet_log.ts";
 import { FleetPeers } from "../fleet/fleet_peers.ts";
 import { FleetState } from "../fleet/fleet_state.ts";
-import { PlacementRouter } from "../fleet/placement_router.ts";
+import { ServiceBalancers } from "../fleet/service_balancers.ts";
 import { SharedRateLimiter } from "../fleet/shared_rate_limiter.ts";
 import { SUSPICION_READER } from "../fleet/suspicions_handler.ts";
 import { SyncMessages } from "../fleet/sync_messages.ts";
@@ -69,14 +69,12 @@
       readReader: () => SUSPICION_READER.none,
       notifyNews: () => undefined,
     });
-    const router = new PlacementRouter({
+    const balancers = new ServiceBalancers({
       state,
       clock,
       random: new SeededRandomSource(1),
-      log,
       zone: self.zone,
       retryBounds: { ratio: 0.2, slack: 60 },
-      guard: this.crashes.guard,
     });
     const limiter = new SharedRateLimiter({
       self,
@@ -92,7 +90,7 @@
       self,
       state,
       peers,
-      router,
+      balancers,
       limiter,
       suspicions: this.crashes.suspicions,
       clock,
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -79,7 +79,9 @@
     this.#server = new FleetCallServer({
       handleExchange: (message) => this.#handleExchange(message),
       handleEvidence: (notice) => {
-        options.router.applyPeerEvidence(notice.evidence.map(decodeEvidence));
+        options.balancers.applyPeerEvidence(
+          notice.evidence.map(decodeEvidence),
+        );
         options.suspicions.applyNotice(notice.from, notice);
       },
       handleTokenRequest: (request) =>
@@ -188,7 +190,7 @@
   }
 
   #updateLeadership(): boolean {
-    const { peers, self, clock, log, limiter, router } = this.#options;
+    const { peers, self, clock, log, limiter, balancers } = this.#options;
     peers.ownRequestsPerSecond = limiter.readRequestsPerSecond();
     const leaders = peers.listZoneLeaders(self.zone);
     const leader = leaders[0]?.incarnation.vm;
@@ -200,7 +202,7 @@
     } else {
       peers.ownLeaderSinceMs ??= clock.readWallMs();
     }
-    router.setVmCount(isLeader ? peers.listLeaders().length : undefined);
+    balancers.setVmCount(isLeader ? peers.listLeaders().length : undefined);
     if (leader !== this.#zoneLeader) {
       log.record("lead-changed", {
         zone: self.zone,
@@ -231,7 +233,7 @@
 
   /** Queues new evidence for all partners; sends failures at once. */
   sendEvidence(): void {
-    const taken = this.#options.router.takeEvidence();
+    const taken = this.#options.balancers.takeEvidence();
     const suspicions = this.#options.suspicions.takeNotice();
     if (taken.length === 0 && suspicions === undefined) {
       return;
--- a/packages/entry/src/fleet/fleet_gauges.ts
+++ b/packages/entry/src/fleet/fleet_gauges.ts
@@ -5,7 +5,8 @@
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { FleetState } from "./fleet_state.ts";
-import type { PlacementRouter } from "./placement_router.ts";
+import type { ServerLimitTracker } from "./server_limit_tracker.ts";
+import type { ServiceBalancers } from "./service_balancers.ts";
 
 const MS_PER_S = 1_000;
 
@@ -13,7 +14,8 @@
 export interface FleetGaugeSources {
   readonly state: FleetState;
   readonly peers: FleetPeers;
-  readonly router: PlacementRouter;
+  readonly balancers: ServiceBalancers;
+  readonly limits: ServerLimitTracker;
   readonly client: StoreClient;
   readonly countInFlight: () => number;
 }
@@ -26,7 +28,7 @@
  */
 export function addFleetGauges(
   metrics: PrometheusMetrics,
-  { state, peers, router, client, countInFlight }: FleetGaugeSources,
+  { state, peers, balancers, limits, client, countInFlight }: FleetGaugeSources,
 ): void {
   metrics.addGauge(
     "configuration_version",
@@ -61,12 +63,17 @@
   metrics.addGauge(
     "waiting_requests",
     "requests that wait for a slot",
-    () => router.countWaiting(),
+    () => balancers.countWaiting(),
   );
   metrics.addGauge(
     "gray_servers",
     "backend servers more likely gray than well",
-    () => router.countGray(),
+    () => balancers.countGray(),
+  );
+  metrics.addGauge(
+    "limited_servers",
+    "backend servers that name a rate limit",
+    () => limits.limitedCount,
   );
   metrics.addGauge(
     "is_lead",
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -6,9 +6,6 @@
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import { FleetCallClient } from "@limpetford/peer/fleet_calls";
 import { StoreClient } from "@limpetford/platform/store/store_client";
-import { formatStoreError } from "@limpetford/platform/store/store_error";
-import { encodeVmRecord } from "@limpetford/platform/store/vm_record_codec";
-import { TOPIC } from "@limpetford/platform/store/wire_names";
 
 import { PlatformDialect } from "../dialect/platform_dialect.ts";
 import { CallerServer } from "../http/caller_server.ts";
@@ -24,6 +21,8 @@
 import type { FleetSettings } from "./fleet_settings.ts";
 import { FleetState } from "./fleet_state.ts";
 import { PlacementRouter } from "./placement_router.ts";
+import { ServerLimitTracker } from "./server_limit_tracker.ts";
+import { ServiceBalancers } from "./service_balancers.ts";
 import { SharedRateLimiter } from "./shared_rate_limiter.ts";
 import { StoreEraRecord } from "./store_era_record.ts";
 import {
@@ -38,6 +37,7 @@
 } from "./store_read_schedule.ts";
 import { TopicConsumer } from "./topic_consumer.ts";
 import { EmptyEntrySelector, RefusingLedger } from "./unused_ports.ts";
+import { VmRegistration } from "./vm_registration.ts";
 
 /**
  * Configuration age up to which keys are accepted, as a share of the time
@@ -57,7 +57,6 @@
 const MAINTENANCE_INTERVAL_MS = 250;
 /** Timeout of a call that asks another VM for a token. */
 const TOKEN_TIMEOUT_MS = 60;
-const REGISTRATION_RETRY_MS = 500;
 /** Time beyond the callers' idle limit after which idle connections close. */
 const IDLE_TIMEOUT_MARGIN_MS = 500;
 /** VMs spread their reads after a return of the store over this time. */
@@ -88,6 +87,8 @@
   readonly #state: FleetState;
   readonly #peers: FleetPeers;
   readonly #crashes: CrashProtection;
+  readonly #limits: ServerLimitTracker;
+  readonly #balancers: ServiceBalancers;
   readonly #router: PlacementRouter;
   readonly #exchange: FleetExchange;
   readonly #client: StoreClient;
@@ -97,9 +98,9 @@
   readonly #consumers: readonly TopicConsumer[];
   readonly #servers: ServersHandler;
   readonly #storeEra: StoreEraRecord;
+  readonly #registration: VmRegistration;
   readonly #reads: StoreReadSchedule;
   #timer: NodeJS.Timeout | undefined;
-  #isStopped = false;
 
   /**
    * Creates all components; nothing runs before {@link start}.
@@ -125,6 +126,7 @@
       },
     });
     this.#client = new StoreClient(settings.storeAddress);
+    this.#registration = new VmRegistration(self, this.#client, log);
     const state = new FleetState(clock);
     state.applyVm(self);
     this.#state = state;
@@ -139,17 +141,24 @@
         this.#exchange.sendEvidence();
       },
     });
-    this.#router = new PlacementRouter({
+    this.#limits = new ServerLimitTracker({ clock, log });
+    this.#balancers = new ServiceBalancers({
       state,
       clock,
       random,
-      log,
       zone: self.zone,
       retryBounds: {
         ratio: settings.retryBudgetRatio,
         slack: settings.retryBudgetSlack,
       },
+    });
+    this.#router = new PlacementRouter({
+      balancers: this.#balancers,
+      state,
+      clock,
+      log,
       guard: this.#crashes.guard,
+      limits: this.#limits,
     });
     const limiter = new SharedRateLimiter({
       self,
@@ -171,7 +180,7 @@
       self,
       state,
       peers: this.#peers,
-      router: this.#router,
+      balancers: this.#balancers,
       limiter,
       suspicions: this.#crashes.suspicions,
       client: this.#calls,
@@ -215,7 +224,8 @@
       addFleetGauges(this.#dependencies.metrics, {
         state: this.#state,
         peers: this.#peers,
-        router: this.#router,
+        balancers: this.#balancers,
+        limits: this.#limits,
         client: this.#client,
         countInFlight: () => this.#callerServer.inFlight,
       });
@@ -229,7 +239,7 @@
       peer: formatAddress(self.peerAddress),
       zone: self.zone,
     });
-    void this.#registerSelf();
+    void this.#registration.write();
     for (const consumer of this.#consumers) {
       void consumer.run();
     }
@@ -265,7 +275,7 @@
 
   /** Stops immediately and aborts in-flight requests. */
   async stop(): Promise<void> {
-    this.#isStopped = true;
+    this.#registration.stop();
     clearInterval(this.#timer);
     this.#exchange.stop();
     for (const consumer of this.#consumers) {
@@ -364,28 +374,7 @@
   #handleStoreReturn(isFirst: boolean): void {
     void this.#storeEra.load();
     if (!isFirst) {
-      void this.#registerSelf();
-    }
-  }
-
-  async #registerSelf(): Promise<void> {
-    const { self } = this.#settings;
-    while (!this.#isStopped) {
-      const written = await this.#client.appendRecord(
-        TOPIC.vms,
-        self.incarnation.vm,
-        encodeVmRecord(self),
-      );
-      if (written.ok) {
-        return;
-      }
-      this.#dependencies.log.record("store-lost", {
-        topic: TOPIC.vms,
-        cause: formatStoreError(written.error),
-      });
-      await new Promise((resolve) => {
-        setTimeout(resolve, REGISTRATION_RETRY_MS);
-      });
+      void this.#registration.write();
     }
   }
 }
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -243,6 +243,18 @@
       "what is known of a request that may crash servers was written to the store",
     fields: { fingerprint: "text", status: "text" },
   },
+  "server-limit-named": {
+    level: "info",
+    meaning:
+      "a backend server names a rate limit for all VMs together; `source` is `observed`, or the VM that reported it",
+    fields: { server: "text", requestsPerSecond: "number", source: "text" },
+  },
+  "server-limit-unreadable": {
+    level: "warn",
+    meaning:
+      "a backend server names a rate limit that is not a number; the limit known before stays",
+    fields: { server: "text", request: "text" },
+  },
   "request-answered": {
     level: "info",
     meaning: "a backend server's response was sent to the caller",
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -15,7 +15,7 @@
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetPeers, PeerState } from "./fleet_peers.ts";
 import type { FleetState } from "./fleet_state.ts";
-import type { PlacementRouter } from "./placement_router.ts";
+import type { ServiceBalancers } from "./service_balancers.ts";
 import type { SharedRateLimiter } from "./shared_rate_limiter.ts";
 import type { SuspicionSync } from "./suspicion_sync.ts";
 
@@ -27,7 +27,7 @@
   readonly self: Vm;
   readonly state: FleetState;
   readonly peers: FleetPeers;
-  readonly router: PlacementRouter;
+  readonly balancers: ServiceBalancers;
   readonly limiter: SharedRateLimiter;
   readonly suspicions: SuspicionSync;
   readonly clock: Clock;
@@ -55,7 +55,7 @@
    * have been built; ages in the message are counted from it
    */
   apply(message: SyncMessage, sentAtMs: number): void {
-    const { state, peers, router, limiter, clock } = this.#options;
+    const { state, peers, balancers, limiter, clock } = this.#options;
     peers.applyMessage(message);
     this.#options.suspicions.applyUpdate(
       message.from,
@@ -85,7 +85,7 @@
       ),
       nowMs,
     );
-    router.applyPeerReport(vm, {
+    balancers.applyPeerReport(vm, {
       loads: new Map(message.report.loads),
       evidence: message.report.evidence.map(decodeEvidence),
     });
@@ -178,7 +178,7 @@
     peer: PeerState | undefined,
     evidence: ServingReport["evidence"],
   ): SyncMessage {
-    const { self, state, peers, router, limiter, suspicions, clock } =
+    const { self, state, peers, balancers, limiter, suspicions, clock } =
       this.#options;
     const { active, servers } = state;
     const nowMs = clock.readMonotonicMs();
@@ -227,7 +227,7 @@
         ? {
           report: {
             evidence,
-            loads: router.listLoads(),
+            loads: balancers.listLoads(),
             demand: limiter.listDemand(),
           },
         }
--- a/packages/entry/src/ports/server_router.ts
+++ b/packages/entry/src/ports/server_router.ts
@@ -5,6 +5,7 @@
   AttemptSample,
 } from "@limpetford/core/evidence/attempt_sample";
 import type { ServerId, ServiceId } from "@limpetford/domain/ids";
+import type { RateLimitNotice } from "@limpetford/domain/rate_limit_notice";
 import type { BackendServer } from "@limpetford/domain/service";
 
 import type { RequestContext } from "./request_context.ts";
@@ -20,6 +21,13 @@
    * @param sample - outcome and latency of the attempt
    */
   complete(sample: AttemptSample): void;
+  /**
+   * Observes what the server's response says of its rate limit; absent if the
+   * router does not follow such limits.
+   *
+   * @param notice - limit named by the response, or that it names none
+   */
+  observeRateLimit?(notice: RateLimitNotice): void;
 }
 
 /** Decision on the request for a slot. */
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -28,7 +28,11 @@
   type ResponseReceiver,
   type SeriesDependencies,
 } from "./response_receiver.ts";
-import { type RunningAttempt, RunningAttempts } from "./running_attempts.ts";
+import {
+  type RunningAttempt,
+  RunningAttempts,
+  type UnusedAttempt,
+} from "./running_attempts.ts";
 import type { ServingPorts } from "./serving_ports.ts";
 
 const DEFAULT_MAX_ATTEMPTS = 4;
@@ -141,7 +145,10 @@
     if (running === undefined) {
       return;
     }
-    const { outcome, isNotRun } = this.#dialect.readResponse(head);
+    const { outcome, isNotRun, rateLimit } = this.#dialect.readResponse(head);
+    if (rateLimit !== undefined) {
+      running.placement.observeRateLimit?.(rateLimit);
+    }
     running.outcome = outcome;
     running.status = head.status;
     if (!isNotRun) {
@@ -391,10 +398,3 @@
     running.placement.complete(sample);
   }
 }
-
-interface UnusedAttempt {
-  readonly running: RunningAttempt;
-  readonly sample: AttemptSample;
-  /** True if the request certainly did not run in this attempt. */
-  readonly isNotRun: boolean;
-}
--- a/packages/entry/src/serving/running_attempts.ts
+++ b/packages/entry/src/serving/running_attempts.ts
@@ -2,6 +2,7 @@
 
 import type {
   AttemptOutcome,
+  AttemptSample,
   Placement,
   PlacementRequest,
 } from "../ports/server_router.ts";
@@ -26,6 +27,14 @@
   status: number | undefined;
 }
 
+/** An attempt whose response is not used. */
+export interface UnusedAttempt {
+  readonly running: RunningAttempt;
+  readonly sample: AttemptSample;
+  /** True if the request certainly did not run in this attempt. */
+  readonly isNotRun: boolean;
+}
+
 /**
  * List of the running attempts of one request, with their states.
  */
--- a/packages/platform/src/store/http_headers.ts
+++ b/packages/platform/src/store/http_headers.ts
@@ -1,10 +1,16 @@
 /** Headers of requests and responses between callers, VMs and servers. */
 
+import {
+  RATE_LIMIT_NOTICE,
+  type RateLimitNotice,
+} from "@limpetford/domain/rate_limit_notice";
+
 import { WIRE_HEADER } from "./wire_names.ts";
 
 const MS_PER_S = 1_000;
 const STATUS_MISDIRECTED = 421;
 const DEADLINE_PATTERN = /^[0-9]{1,9}(\.[0-9]+)?$/;
+const RATE_PATTERN = /^([0-9]{1,9}(\.[0-9]*)?|\.[0-9]+)$/;
 /** Headers that a VM sets itself; values from the caller are dropped. */
 const HEADERS_SET_BY_VM: ReadonlySet<string> = new Set([
   WIRE_HEADER.callerKey,
@@ -50,6 +56,7 @@
   readonly isNotRun: boolean;
   /** True if the response has a server signature; it is not verified here. */
   readonly isSigned: boolean;
+  readonly rateLimit: RateLimitNotice;
 }
 
 /**
@@ -118,6 +125,7 @@
     isNotRun: status === STATUS_MISDIRECTED ||
       headers[WIRE_HEADER.notRun] !== undefined,
     isSigned: headers[WIRE_HEADER.signature] !== undefined,
+    rateLimit: parseRateLimit(headers[WIRE_HEADER.serverLimit]),
   };
 }
 
@@ -131,6 +139,17 @@
   return [WIRE_HEADER.retryAfter, (retryAfterMs / MS_PER_S).toFixed(3)];
 }
 
+function parseRateLimit(
+  value: string | string[] | undefined,
+): RateLimitNotice {
+  if (value === undefined) {
+    return { kind: RATE_LIMIT_NOTICE.none };
+  }
+  return typeof value === "string" && RATE_PATTERN.test(value.trim())
+    ? { kind: RATE_LIMIT_NOTICE.named, requestsPerSecond: Number(value.trim()) }
+    : { kind: RATE_LIMIT_NOTICE.unreadable };
+}
+
 function findHeader(headers: HeaderTable, name: string): string | undefined {
   const value = headers[name];
   return typeof value === "string" && value !== "" ? value : undefined;
--- a/packages/platform/src/store/http_headers_test.ts
+++ b/packages/platform/src/store/http_headers_test.ts
@@ -51,6 +51,29 @@
     },
   );
 
+  const limits = [
+    [undefined, { kind: "none" }],
+    ["2", { kind: "named", requestsPerSecond: 2 }],
+    ["2.5", { kind: "named", requestsPerSecond: 2.5 }],
+    [" 0.25 ", { kind: "named", requestsPerSecond: 0.25 }],
+    [".5", { kind: "named", requestsPerSecond: 0.5 }],
+    ["0", { kind: "named", requestsPerSecond: 0 }],
+    ["", { kind: "unreadable" }],
+    ["-1", { kind: "unreadable" }],
+    ["1e3", { kind: "unreadable" }],
+    ["0x10", { kind: "unreadable" }],
+    ["NaN", { kind: "unreadable" }],
+    ["Infinity", { kind: "unreadable" }],
+    ["2, 3", { kind: "unreadable" }],
+    [["2", "3"], { kind: "unreadable" }],
+  ] as const;
+  it.each(limits)("reads the server limit %j", (value, expected) => {
+    const headers = value === undefined
+      ? {}
+      : { "server-limit": typeof value === "string" ? value : [...value] };
+    expect(parseServerResponse(200, headers).rateLimit).toEqual(expected);
+  });
+
   it("formats retry-after in seconds", () => {
     expect(buildRetryAfter(250)).toEqual(["retry-after", "0.250"]);
   });
--- a/packages/platform/src/store/wire_names.ts
+++ b/packages/platform/src/store/wire_names.ts
@@ -31,6 +31,8 @@
   signature: "server-signature",
   /** Present if the backend server did not execute the request. */
   notRun: "not-executed",
+  /** Requests per second that the backend server takes from all VMs together. */
+  serverLimit: "server-limit",
   retryAfter: "retry-after",
   /** Number of times that the store has returned from an older copy. */
   storeEra: "store-era",
