test(standins): a server gets far more requests than the limit it names

Bounds are the users' rule: from 3 s after the first naming at most 1.5 times the limit and 5 requests in any 4 s.

--- a/packages/standins/src/platform/protocol_names.ts
+++ b/packages/standins/src/platform/protocol_names.ts
@@ -10,6 +10,7 @@
   callerKey: "key",
   team: "tenant",
   signature: "server-signature",
+  serverLimit: "server-limit",
 } as const;
 
 /** Topics of the store, and the key of the configuration record. */
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -6,6 +6,8 @@
 import type { SocketAddress } from "@limpetford/domain/vm";
 import { resetSocket } from "@limpetford/entry/http/reset_socket";
 
+import { PROTOCOL_HEADER } from "./protocol_names.ts";
+
 const STATUS_OK = 200;
 const STATUS_MISDIRECTED = 421;
 const STATUS_ERROR = 500;
@@ -67,6 +69,10 @@
   processingMs = 0;
   /** Requests that crash the server; undefined if none does. */
   crashBehavior: CrashBehavior | undefined;
+  /**
+   * Chooses the rate limit that a response names; undefined to name none.
+   */
+  chooseNamedLimit: (() => string | undefined) | undefined;
   /** Called when the server goes down in a crash and when it is back. */
   outageListener: ((isDown: boolean) => void) | undefined;
   /** Wall-clock times of the crashes so far, in milliseconds. */
@@ -212,9 +218,14 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): void {
+    const namedLimit = this.chooseNamedLimit?.();
+    const limitHeader = namedLimit === undefined
+      ? {}
+      : { [PROTOCOL_HEADER.serverLimit]: namedLimit };
     const head = {
       "request-id": String(request.headers["request-id"]),
       "server-signature": `signed-by-${this.id}`,
+      ...limitHeader,
     };
     const body = `answer of ${this.id}`;
     switch (behavior) {
@@ -227,7 +238,10 @@
         response.end("failed");
         break;
       case "shed":
-        response.writeHead(STATUS_UNAVAILABLE, { "not-executed": "1" });
+        response.writeHead(STATUS_UNAVAILABLE, {
+          "not-executed": "1",
+          ...limitHeader,
+        });
         response.end();
         break;
       case "hang":
