fix(entry): keep backend servers to the rate limits that they name

Cause: no decision read the limit; it is for all VMs together, so that each VM keeping to it would not do either (44 VMs, 1 a second).

Fix: the first leader of the server's zone grants a token for each request (limit_ownership, server_token_issuer, server_limit_bucket); every VM asks it for attempts, retries, hedges and probes alike, and uses other servers meanwhile. VMs tell each other what servers name. A VM without the granting VM sends nothing there. A granting VM starts without tokens and has the share of the zones it hears, so that sides of a cut add up to one. An answer raises the rate only if its request was granted after the last change; the end is a slow start of four steps, at least a request every 4 s shows it. Waiting is judged by measured throughput where limits bind. Ruled out: shares of each limit per VM (team_shares: leaders at which demand rises at once take 0.3 + 0.7 n); a lease in the store (a call a request, fails with it).

--- a/packages/core/src/limits/server_limit_registry.ts
+++ b/packages/core/src/limits/server_limit_registry.ts
@@ -4,6 +4,8 @@
 
 /** Time for which the end of a limit is remembered, to be told to other VMs. */
 const ENDED_KEPT_MS = 10_000;
+/** Time for which the limit of a server that is not listed is remembered. */
+const UNLISTED_KEPT_MS = 60_000;
 
 /** Rate limit of one start of a backend server, or the end of one. */
 export interface ServerLimit {
@@ -76,17 +78,21 @@
   }
 
   /**
-   * Drops limits of servers that are gone or have restarted, and ends of limits
-   * that every VM has heard of.
+   * Drops limits of servers that have restarted or been gone for long, and ends
+   * of limits that every VM has heard of.
    *
-   * @param startedAtMs - start of each present server
+   * @param startedAtMs - start of each listed server
    * @param nowMs - monotonic time
    */
   expire(startedAtMs: ReadonlyMap<ServerId, number>, nowMs: number): void {
     for (const [server, limit] of this.#limits) {
+      const listed = startedAtMs.get(server);
+      const ageMs = nowMs - limit.knownAtMs;
       const isEnded = limit.requestsPerSecond === undefined &&
-        nowMs - limit.knownAtMs > ENDED_KEPT_MS;
-      if (isEnded || startedAtMs.get(server) !== limit.startedAtMs) {
+        ageMs > ENDED_KEPT_MS;
+      const isGone = listed === undefined && ageMs > UNLISTED_KEPT_MS;
+      const hasRestarted = listed !== undefined && listed > limit.startedAtMs;
+      if (isEnded || isGone || hasRestarted) {
         this.#limits.delete(server);
       }
     }
--- a/packages/core/src/placement/service_placement.ts
+++ b/packages/core/src/placement/service_placement.ts
@@ -6,66 +6,37 @@
 import type { AttemptSample } from "../evidence/attempt_sample.ts";
 import type { RandomSource } from "../time/random_source.ts";
 import { EVIDENCE, type Evidence } from "./gray_failure_estimator.ts";
+import { GrayShareEstimator } from "./gray_share_estimator.ts";
+import type {
+  PlacementDecision,
+  TakenSlot,
+  WaiterDecision,
+} from "./placement_decision.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
 import { type RetryLimits, RetryTokenBucket } from "./retry_token_bucket.ts";
 import { chooseServer } from "./server_choice.ts";
+import type { ServerEvidence } from "./server_evidence.ts";
+import { ServiceThroughput } from "./service_throughput.ts";
 import { ServiceTimeEstimator } from "./service_time_estimator.ts";
-import { type RunningRequest, TrackedServer } from "./tracked_server.ts";
+import { TrackedServer } from "./tracked_server.ts";
 import { type Waiter, WaitQueue } from "./wait_queue.ts";
 
-const INITIAL_GRAY_SHARE = 0.1;
-const MIN_GRAY_SHARE = 0.03;
-const MAX_GRAY_SHARE = 0.4;
-/** Weight of a new estimate in the moving average of the gray share. */
-const GRAY_SHARE_SMOOTHING = 0.2;
-/** Servers without an outcome for this long do not count for the share. */
-const RECENT_EVIDENCE_MS = 2_000;
-/** Time between two estimates of the share of gray servers. */
-const GRAY_SHARE_INTERVAL_MS = 500;
 /** Retry tokens that probes leave for requests that failed. */
 const PROBE_RESERVE = 3;
 /** Multiple of the service time after which a request counts as hung. */
 const HUNG_FACTOR = 4;
+/** Time for which a server is kept while a token for it is asked for. */
+const TOKEN_WAIT_MS = 100;
 /** Share of the time to the deadline that the expected wait may take. */
 const WAIT_SHARE = 0.8;
 
-/** A slot at a server, held by a running attempt. */
-export interface TakenSlot {
-  readonly server: TrackedServer;
-  readonly running: RunningRequest;
-  readonly demand: PlacementDemand;
-}
-
-/** Result of a request for a slot. */
-export type PlacementDecision<T> =
-  | { readonly kind: "placed"; readonly slot: TakenSlot }
-  | { readonly kind: "waiting"; readonly waiter: Waiter<T> }
-  /** Cannot be served before its deadline; `retryAfterMs` from now it may. */
-  | { readonly kind: "overloaded"; readonly retryAfterMs: number }
-  | { readonly kind: "no-server" };
-
-/** Decision on a request that was waiting. */
-export interface WaiterDecision<T> {
-  readonly waiter: Waiter<T>;
-  readonly decision: Exclude<
-    PlacementDecision<T>,
-    { readonly kind: "waiting" }
-  >;
-}
-
-/** Outcome of a request, as it is shared with the other VMs. */
-export interface ServerEvidence {
-  readonly server: ServerId;
-  readonly evidence: Evidence;
-  /** True if the network link may be at fault rather than the server. */
-  readonly isLinkFailure: boolean;
-}
-
 /** Settings of {@link ServicePlacement}. */
 export interface ServicePlacementOptions {
   readonly zone: ZoneId;
   readonly random: RandomSource;
   readonly retryBounds: RetryLimits;
+  /** Finds the rate limit that a server names, in requests per second. */
+  readonly findRateLimit: (server: AnnouncedServer) => number | undefined;
 }
 
 /** Assigns requests to servers, queues them for slots, or refuses them. */
@@ -75,9 +46,9 @@
   readonly #waiting = new WaitQueue<T>();
   readonly #serviceTimes = new ServiceTimeEstimator();
   readonly #retryTokens: RetryTokenBucket;
+  readonly #grayShares = new GrayShareEstimator();
+  readonly #throughput: ServiceThroughput;
   #unsentEvidence: ServerEvidence[] = [];
-  #grayShare = INITIAL_GRAY_SHARE;
-  #grayShareAtMs = 0;
 
   /**
    * Starts without servers.
@@ -87,6 +58,9 @@
   constructor(options: ServicePlacementOptions) {
     this.#options = options;
     this.#retryTokens = new RetryTokenBucket(options.retryBounds);
+    this.#throughput = new ServiceThroughput((server) =>
+      options.findRateLimit(server.announced)
+    );
   }
 
   /**
@@ -104,7 +78,7 @@
    * @returns from 0 to 1
    */
   get grayShare(): number {
-    return this.#grayShare;
+    return this.#grayShares.share;
   }
 
   /**
@@ -131,12 +105,12 @@
     }
     for (const server of announced) {
       const known = this.#servers.get(server.id);
-      if (known !== undefined && isSameStart(known.announced, server)) {
+      if (known?.isSameStart(server) === true) {
         known.announced = server;
       } else {
         this.#servers.set(
           server.id,
-          new TrackedServer(server, this.#grayShare, nowMs),
+          new TrackedServer(server, this.grayShare, nowMs),
         );
       }
     }
@@ -155,7 +129,7 @@
     item: T,
     nowMs: number,
   ): PlacementDecision<T> {
-    this.#updateGrayShare(nowMs);
+    this.#grayShares.update(this.listServers(), nowMs);
     if (this.#servers.size === 0) {
       return { kind: "no-server" };
     }
@@ -164,13 +138,54 @@
     if (slot !== undefined) {
       return { kind: "placed", slot };
     }
-    const waitMs = this.#estimateWaitMs(demand);
-    const leftMs = demand.deadlineAtMs - nowMs - this.#estimateMs(demand);
+    const waitMs = this.#estimateWaitMs(demand, nowMs);
+    // Under lasting overload, requests past their target are overtaken by new
+    // ones until their deadline.
+    const isLasting = this.#throughput.isOverLimits(this.listServers(), nowMs);
+    const endAtMs = isLasting ? demand.targetAtMs : demand.deadlineAtMs;
+    const leftMs = endAtMs - nowMs - this.estimateServiceMs(demand);
     if (waitMs > leftMs * WAIT_SHARE) {
       return { kind: "overloaded", retryAfterMs: waitMs };
     }
     const waiter = { demand, arrivedAtMs: nowMs, item };
-    this.#waiting.add(waiter);
+    this.#addWaiter(waiter, nowMs);
+    return { kind: "waiting", waiter };
+  }
+
+  /**
+   * Records that the token for an attempt at a rate-limited server was granted.
+   *
+   * @param slot - slot that the attempt uses
+   * @param nowMs - monotonic time, in milliseconds
+   */
+  grantToken(slot: TakenSlot, nowMs: number): void {
+    slot.server.setNextTokenAt(nowMs);
+    this.#throughput.recordPlaced(nowMs);
+  }
+
+  /**
+   * Releases a slot whose token was refused, and places the request elsewhere or
+   * queues it again.
+   *
+   * @param slot - slot that the attempt cannot use
+   * @param waiter - the request; it is not refused for the length of the queue
+   * @param times - monotonic time, and until when the server gets no request
+   * @returns another slot, or the place in the queue
+   */
+  refuseToken(
+    slot: TakenSlot,
+    waiter: Waiter<T>,
+    times: { readonly nowMs: number; readonly untilMs: number },
+  ): PlacementDecision<T> {
+    const { nowMs, untilMs } = times;
+    slot.server.removeRunning(slot.running);
+    slot.server.setNextTokenAt(untilMs);
+    const isNext = this.#waiting.countAhead(waiter.demand.priority) === 0;
+    const other = isNext ? this.#takeSlot(waiter.demand, nowMs) : undefined;
+    if (other !== undefined) {
+      return { kind: "placed", slot: other };
+    }
+    this.#addWaiter(waiter, nowMs);
     return { kind: "waiting", waiter };
   }
 
@@ -183,16 +198,17 @@
    */
   decideWaiting(nowMs: number): readonly WaiterDecision<T>[] {
     if (this.#waiting.size === 0) {
+      this.#throughput.recordQueue(false, nowMs);
       return [];
     }
     const estimate = (demand: PlacementDemand): number =>
-      this.#estimateMs(demand);
+      this.estimateServiceMs(demand);
     const expired = this.#waiting.removeExpired(nowMs, estimate);
     const decisions: WaiterDecision<T>[] = expired.map((waiter) => ({
       waiter,
       decision: {
         kind: "overloaded",
-        retryAfterMs: this.#estimateWaitMs(waiter.demand),
+        retryAfterMs: this.#estimateWaitMs(waiter.demand, nowMs),
       },
     }));
     for (const waiter of this.#waiting.listInOrder(nowMs, estimate)) {
@@ -260,7 +276,7 @@
   applyPeerEvidence(shared: ServerEvidence, nowMs: number): void {
     this.#servers.get(shared.server)?.recordEvidence(
       shared.evidence,
-      this.#grayShare,
+      this.grayShare,
       nowMs,
     );
   }
@@ -289,12 +305,13 @@
   }
 
   /**
-   * Sets this VM's share of the service's retry slack.
+   * Sets this VM's share of the service's retry slack and rate limits.
    *
    * @param count - VMs that receive callers; undefined if this VM does not
    */
   setVmCount(count: number | undefined): void {
     this.#retryTokens.setVmCount(count);
+    this.#throughput.setVmCount(count);
   }
 
   /** Adds retry tokens for the first attempt of a request. */
@@ -318,14 +335,19 @@
    * @returns milliseconds from dispatch to the end of the response
    */
   estimateServiceMs(demand: PlacementDemand): number {
-    return this.#estimateMs(demand);
+    return this.#serviceTimes.estimateMs(demand.route);
+  }
+
+  #addWaiter(waiter: Waiter<T>, nowMs: number): void {
+    this.#waiting.add(waiter);
+    this.#throughput.recordQueue(true, nowMs);
   }
 
   #takeSlot(demand: PlacementDemand, nowMs: number): TakenSlot | undefined {
-    const expectedMs = this.#estimateMs(demand);
+    const expectedMs = this.estimateServiceMs(demand);
     const server = chooseServer(this.listServers(), demand, {
       zone: this.#options.zone,
-      grayShare: this.#grayShare,
+      grayShare: this.grayShare,
       nowMs,
       random: this.#options.random,
       mayProbe: this.#retryTokens.hasTokens(PROBE_RESERVE),
@@ -336,7 +358,15 @@
     }
     const running = { startedAtMs: nowMs, expectedMs };
     server.addRunning(running);
-    return { server, running, demand };
+    const needsToken =
+      this.#options.findRateLimit(server.announced) !== undefined;
+    if (needsToken) {
+      // One request at a time asks for a token.
+      server.setNextTokenAt(nowMs + TOKEN_WAIT_MS);
+    } else {
+      this.#throughput.recordPlaced(nowMs);
+    }
+    return { needsToken, server, running, demand };
   }
 
   #recordEvidence(
@@ -344,7 +374,7 @@
     evidence: Evidence,
     nowMs: number,
   ): void {
-    server.recordEvidence(evidence, this.#grayShare, nowMs);
+    server.recordEvidence(evidence, this.grayShare, nowMs);
     this.#unsentEvidence.push({
       server: server.announced.id,
       evidence,
@@ -357,44 +387,13 @@
     this.#recordEvidence(server, EVIDENCE.failure, nowMs);
   }
 
-  #estimateMs(demand: PlacementDemand): number {
-    return this.#serviceTimes.estimateMs(demand.route);
-  }
-
-  #estimateWaitMs(demand: PlacementDemand): number {
-    const slots = this.listServers().reduce(
-      (sum, server) => sum + server.announced.slots,
-      0,
-    );
+  #estimateWaitMs(demand: PlacementDemand, nowMs: number): number {
     const ahead = this.#waiting.countAhead(demand.priority) + 1;
-    return ahead * this.#estimateMs(demand) / Math.max(1, slots);
-  }
-
-  #updateGrayShare(nowMs: number): void {
-    if (nowMs - this.#grayShareAtMs < GRAY_SHARE_INTERVAL_MS) {
-      return;
-    }
-    this.#grayShareAtMs = nowMs;
-    const recent = this.listServers().filter((server) =>
-      nowMs - server.lastEvidenceAtMs < RECENT_EVIDENCE_MS
-    );
-    if (recent.length === 0) {
-      return;
-    }
-    const sum = recent.reduce(
-      (total, server) =>
-        total + server.estimateGrayProbability(this.#grayShare, nowMs),
-      0,
-    );
-    const observed = Math.min(
-      MAX_GRAY_SHARE,
-      Math.max(MIN_GRAY_SHARE, sum / recent.length),
+    const perMs = this.#throughput.estimatePerMs(
+      this.listServers(),
+      this.estimateServiceMs(demand),
+      nowMs,
     );
-    this.#grayShare += GRAY_SHARE_SMOOTHING * (observed - this.#grayShare);
+    return ahead / perMs;
   }
 }
-
-function isSameStart(a: AnnouncedServer, b: AnnouncedServer): boolean {
-  return a.startedAtMs === b.startedAtMs &&
-    a.address.host === b.address.host && a.address.port === b.address.port;
-}
--- a/packages/core/src/placement/service_placement_test.ts
+++ b/packages/core/src/placement/service_placement_test.ts
@@ -12,12 +12,9 @@
   AttemptSample,
 } from "../evidence/attempt_sample.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
+import type { PlacementDecision, TakenSlot } from "./placement_decision.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
-import {
-  type PlacementDecision,
-  ServicePlacement,
-  type TakenSlot,
-} from "./service_placement.ts";
+import { ServicePlacement } from "./service_placement.ts";
 
 const ZONE = toId<ZoneId>("z1");
 
@@ -77,6 +74,7 @@
     zone: ZONE,
     random: new SeededRandomSource(1),
     retryBounds: { ratio: 0.2, slack },
+    findRateLimit: () => undefined,
   });
   placement.setServers(servers, 0);
   placement.setVmCount(3);
--- a/packages/core/src/placement/tracked_server.ts
+++ b/packages/core/src/placement/tracked_server.ts
@@ -44,6 +44,7 @@
   #speedFactor = 1;
   #speedAtMs: number;
   #pausedUntilMs = 0;
+  #nextTokenAtMs = 0;
 
   /**
    * Starts with the prior probabilities of failure and no load.
@@ -91,15 +92,29 @@
     return this.#estimator.lastEvidenceAtMs;
   }
 
+  /**
+   * Checks whether an announcement is of the same start of the server.
+   *
+   * @param announced - announcement of a server with the same identifier
+   * @returns false if the server has restarted or moved
+   */
+  isSameStart({ startedAtMs, address }: AnnouncedServer): boolean {
+    const known = this.announced;
+    return known.startedAtMs === startedAtMs &&
+      known.address.host === address.host &&
+      known.address.port === address.port;
+  }
+
   /**
    * Checks whether the server accepts new requests.
    *
    * @param nowMs - monotonic time, in milliseconds
-   * @returns false if it is leaving or has just shed a request
+   * @returns false if it is leaving, has just shed a request, or names a rate
+   * limit that leaves no token
    */
   isAvailable(nowMs: number): boolean {
     return this.announced.state === SERVER_STATE.active &&
-      nowMs >= this.#pausedUntilMs;
+      nowMs >= this.#pausedUntilMs && nowMs >= this.#nextTokenAtMs;
   }
 
   /**
@@ -203,6 +218,15 @@
     this.#pausedUntilMs = nowMs + SHED_PAUSE_MS;
   }
 
+  /**
+   * Sets the time before which a server that names a rate limit gets no request.
+   *
+   * @param atMs - monotonic time of the next token
+   */
+  setNextTokenAt(atMs: number): void {
+    this.#nextTokenAtMs = atMs;
+  }
+
   /**
    * Estimates how slow the server is. A running request that is overdue raises
    * the estimate before it ends.
--- a/packages/entry/src/fakes/exchange_side.ts
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -8,6 +8,7 @@
   type VmId,
   type ZoneId,
 } from "@limpetford/domain/ids";
+import { makeError } from "@limpetford/domain/result";
 import type { Vm } from "@limpetford/domain/vm";
 import { StoreClient } from "@limpetford/platform/store/store_client";
 
@@ -16,6 +17,10 @@
 import { FleetLog } from "../fleet/fleet_log.ts";
 import { FleetPeers } from "../fleet/fleet_peers.ts";
 import { FleetState } from "../fleet/fleet_state.ts";
+import {
+  ServerRateLimits,
+  type ServerRateLimitsOptions,
+} from "../fleet/server_rate_limits.ts";
 import { ServiceBalancers } from "../fleet/service_balancers.ts";
 import { SharedRateLimiter } from "../fleet/shared_rate_limiter.ts";
 import { SUSPICION_READER } from "../fleet/suspicions_handler.ts";
@@ -34,11 +39,25 @@
     zone: toId<ZoneId>("z"),
     region: toId<RegionId>("r"),
     callerAddress: { host: "10.0.0.1", port: 1 },
-    peerAddress: { host: "10.0.0.1", port: 2 },
+    peerAddress: { host: id, port: 2 },
     weight: 1,
   };
 }
 
+/** Options of an {@link ExchangeSide}. */
+export interface ExchangeSideOptions {
+  /** Wall-clock time of the VM's start, in milliseconds; default 1. */
+  readonly startedAtMs?: number;
+  /** Calls for the tokens of servers' rate limits; by default all are lost. */
+  readonly calls?: ServerRateLimitsOptions["calls"];
+}
+
+const LOST = makeError({ kind: "peer-reply-lost", cause: "cut" } as const);
+const LOST_CALLS: ServerRateLimitsOptions["calls"] = {
+  sendServerTokenRequest: () => Promise.resolve(LOST),
+  sendServerLimitReport: () => Promise.resolve(LOST),
+};
+
 /** The components of one VM that take part in an exchange of messages. */
 export class ExchangeSide {
   readonly self: Vm;
@@ -46,16 +65,21 @@
   readonly peers: FleetPeers;
   readonly messages: SyncMessages;
   readonly crashes: CrashProtection;
+  readonly limits: ServerRateLimits;
 
   /**
    * Creates the components, which know only this VM.
    *
    * @param id - identifier of the VM
    * @param clock - shared by all sides
-   * @param startedAtMs - wall-clock time of the VM's start, in milliseconds
+   * @param options - start of the VM, and calls for tokens
    */
-  constructor(id: string, clock: FakeClock, startedAtMs = 1) {
-    this.self = buildExchangeVm(id, startedAtMs);
+  constructor(
+    id: string,
+    clock: FakeClock,
+    options: ExchangeSideOptions = {},
+  ) {
+    this.self = buildExchangeVm(id, options.startedAtMs);
     this.state = new FleetState(clock);
     this.state.applyVm(this.self);
     this.peers = new FleetPeers(this.self, this.state, clock);
@@ -69,12 +93,23 @@
       readReader: () => SUSPICION_READER.none,
       notifyNews: () => undefined,
     });
+    this.limits = new ServerRateLimits({
+      self,
+      state,
+      peers,
+      clock,
+      log,
+      random: new SeededRandomSource(1),
+      notifyChange: () => undefined,
+      calls: options.calls ?? LOST_CALLS,
+    });
     const balancers = new ServiceBalancers({
       state,
       clock,
       random: new SeededRandomSource(1),
       zone: self.zone,
       retryBounds: { ratio: 0.2, slack: 60 },
+      findRateLimit: () => undefined,
     });
     const limiter = new SharedRateLimiter({
       self,
@@ -93,6 +128,7 @@
       balancers,
       limiter,
       suspicions: this.crashes.suspicions,
+      serverLimits: this.limits.tracker,
       clock,
       log,
     });
--- a/packages/entry/src/fakes/simulated_vm.ts
+++ b/packages/entry/src/fakes/simulated_vm.ts
@@ -34,7 +34,7 @@
    */
   constructor(index: number, clock: FakeClock, startedAtMs: number) {
     const log = new FleetLog({ clock, level: "error", vm: `vm-${index}` });
-    this.side = new ExchangeSide(`vm-${index}`, clock, startedAtMs);
+    this.side = new ExchangeSide(`vm-${index}`, clock, { startedAtMs });
     this.state = this.side.state;
     const share = index === 0 ? 0 : 0.55 + index * 0.05;
     const options = {
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -9,6 +9,7 @@
 } from "@limpetford/peer/fleet_calls";
 import type { EvidenceRow, SyncMessage } from "@limpetford/peer/fleet_sync";
 
+import type { ServerTokenIssuer } from "./server_token_issuer.ts";
 import type { SuspicionNotice } from "./suspicion_sync.ts";
 import {
   decodeEvidence,
@@ -36,6 +37,7 @@
   readonly client: FleetCallClient;
   /** Peer addresses to call while no other VM is known. */
   readonly seeds: readonly Vm["peerAddress"][];
+  readonly tokenIssuer: ServerTokenIssuer;
 }
 
 // A VM that this one exchanges messages with.
@@ -86,6 +88,11 @@
       },
       handleTokenRequest: (request) =>
         options.limiter.handleTokenRequest(request),
+      handleServerTokenRequest: (request) =>
+        options.tokenIssuer.handleRequest(request),
+      handleServerLimitReport: (report) => {
+        options.tokenIssuer.handleReport(report);
+      },
     });
   }
 
--- a/packages/entry/src/fleet/fleet_gauges.ts
+++ b/packages/entry/src/fleet/fleet_gauges.ts
@@ -5,7 +5,7 @@
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { FleetState } from "./fleet_state.ts";
-import type { ServerLimitTracker } from "./server_limit_tracker.ts";
+import type { ServerRateLimits } from "./server_rate_limits.ts";
 import type { ServiceBalancers } from "./service_balancers.ts";
 
 const MS_PER_S = 1_000;
@@ -15,7 +15,7 @@
   readonly state: FleetState;
   readonly peers: FleetPeers;
   readonly balancers: ServiceBalancers;
-  readonly limits: ServerLimitTracker;
+  readonly limits: ServerRateLimits;
   readonly client: StoreClient;
   readonly countInFlight: () => number;
 }
@@ -73,7 +73,7 @@
   metrics.addGauge(
     "limited_servers",
     "backend servers that name a rate limit",
-    () => limits.limitedCount,
+    () => limits.tracker.limitedCount,
   );
   metrics.addGauge(
     "is_lead",
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -21,7 +21,7 @@
 import type { FleetSettings } from "./fleet_settings.ts";
 import { FleetState } from "./fleet_state.ts";
 import { PlacementRouter } from "./placement_router.ts";
-import { ServerLimitTracker } from "./server_limit_tracker.ts";
+import { ServerRateLimits } from "./server_rate_limits.ts";
 import { ServiceBalancers } from "./service_balancers.ts";
 import { SharedRateLimiter } from "./shared_rate_limiter.ts";
 import { StoreEraRecord } from "./store_era_record.ts";
@@ -87,7 +87,7 @@
   readonly #state: FleetState;
   readonly #peers: FleetPeers;
   readonly #crashes: CrashProtection;
-  readonly #limits: ServerLimitTracker;
+  readonly #limits: ServerRateLimits;
   readonly #balancers: ServiceBalancers;
   readonly #router: PlacementRouter;
   readonly #exchange: FleetExchange;
@@ -141,7 +141,18 @@
         this.#exchange.sendEvidence();
       },
     });
-    this.#limits = new ServerLimitTracker({ clock, log });
+    this.#limits = new ServerRateLimits({
+      self,
+      state,
+      peers: this.#peers,
+      calls: this.#calls,
+      clock,
+      random,
+      log,
+      notifyChange: () => {
+        this.#exchange.notifyPartners();
+      },
+    });
     this.#balancers = new ServiceBalancers({
       state,
       clock,
@@ -151,6 +162,7 @@
         ratio: settings.retryBudgetRatio,
         slack: settings.retryBudgetSlack,
       },
+      findRateLimit: (server) => this.#limits.findRateLimit(server),
     });
     this.#router = new PlacementRouter({
       balancers: this.#balancers,
@@ -183,6 +195,8 @@
       balancers: this.#balancers,
       limiter,
       suspicions: this.#crashes.suspicions,
+      serverLimits: this.#limits.tracker,
+      tokenIssuer: this.#limits.issuer,
       client: this.#calls,
       clock,
       log,
@@ -247,6 +261,7 @@
     this.#timer = setInterval(() => {
       this.#servers.expireRemoved();
       this.#crashes.update();
+      this.#limits.update();
       void this.#storeEra.writeIfDue();
     }, MAINTENANCE_INTERVAL_MS);
   }
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -249,6 +249,29 @@
       "a backend server names a rate limit for all VMs together; `source` is `observed`, or the VM that reported it",
     fields: { server: "text", requestsPerSecond: "number", source: "text" },
   },
+  "server-limit-ended": {
+    level: "info",
+    meaning:
+      "a backend server no longer names a rate limit; `source` is `observed`, or the VM that reported it",
+    fields: { server: "text", source: "text" },
+  },
+  "server-token-lost": {
+    level: "warn",
+    meaning:
+      "the VM that grants the tokens of a backend server's rate limit did not answer",
+    fields: { owner: "text", cause: "text" },
+  },
+  "request-deferred": {
+    level: "info",
+    meaning:
+      "the request does not go to a backend server that names a rate limit, since no token was granted: `no-token` is left, the VM that was asked is `not-owner`, `no-owner` is known, or `owner-silent`",
+    fields: {
+      request: "text",
+      server: "text",
+      cause: "text",
+      retryAfterMs: "number",
+    },
+  },
   "server-limit-unreadable": {
     level: "warn",
     meaning:
--- a/packages/entry/src/fleet/peer_serving_report.ts
+++ b/packages/entry/src/fleet/peer_serving_report.ts
@@ -1,6 +1,6 @@
 /** Load and evidence reported by another VM. */
 
-import type { ServerEvidence } from "@limpetford/core/placement/service_placement";
+import type { ServerEvidence } from "@limpetford/core/placement/server_evidence";
 
 /** Decoded report of a VM that serves callers. */
 export interface PeerServingReport {
--- a/packages/entry/src/fleet/placement_log.ts
+++ b/packages/entry/src/fleet/placement_log.ts
@@ -1,7 +1,8 @@
 /** Logs what the load balancer decides on a request and how attempts end. */
 
-import type { TakenSlot } from "@limpetford/core/placement/service_placement";
+import type { TakenSlot } from "@limpetford/core/placement/placement_decision";
 import type { Clock } from "@limpetford/core/time/clock";
+import type { ServerId } from "@limpetford/domain/ids";
 
 import type {
   AttemptSample,
@@ -10,6 +11,7 @@
 import { readServiceId } from "./demand_builder.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetState } from "./fleet_state.ts";
+import type { TokenVerdict } from "./server_token_client.ts";
 
 /** Dependencies of a {@link PlacementLog}. */
 export interface PlacementLogOptions {
@@ -55,6 +57,26 @@
     });
   }
 
+  /**
+   * Logs that a request does not go to a server that names a rate limit.
+   *
+   * @param request - the request
+   * @param server - the server
+   * @param refusal - why no token was granted, and when to ask again
+   */
+  recordDeferred(
+    request: PlacementRequest,
+    server: ServerId,
+    refusal: Extract<TokenVerdict, { readonly kind: "refused" }>,
+  ): void {
+    this.#options.log.record("request-deferred", {
+      request: request.context.id,
+      server,
+      cause: refusal.cause,
+      retryAfterMs: Math.round(refusal.retryAfterMs),
+    });
+  }
+
   /**
    * Logs that a request is sent to a server.
    *
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -1,9 +1,10 @@
 /** Load balancing of requests across the backend servers of each service. */
 
-import type { TakenSlot } from "@limpetford/core/placement/service_placement";
+import type { TakenSlot } from "@limpetford/core/placement/placement_decision";
 import type { Waiter } from "@limpetford/core/placement/wait_queue";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { ServiceId } from "@limpetford/domain/ids";
+import type { TokenGrant } from "@limpetford/peer/fleet_sync";
 
 import {
   type FailedAttempt,
@@ -18,7 +19,7 @@
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { PlacementLog } from "./placement_log.ts";
-import type { ServerLimitTracker } from "./server_limit_tracker.ts";
+import type { ServerRateLimits } from "./server_rate_limits.ts";
 import type {
   Balancer,
   PendingPlacement,
@@ -42,7 +43,13 @@
   readonly clock: Clock;
   readonly log: FleetLog;
   readonly guard: CrashGuard;
-  readonly limits: ServerLimitTracker;
+  readonly limits: ServerRateLimits;
+}
+
+// A slot, with the token for it if its server names a rate limit.
+interface GrantedSlot {
+  readonly slot: TakenSlot;
+  readonly grant?: TokenGrant | undefined;
 }
 
 /** Routes requests with one load balancer for each configured service. */
@@ -173,16 +180,11 @@
   ): void {
     switch (decision.kind) {
       case "placed":
-        this.#log.recordPlaced({
-          request: pending.request,
-          askedAtMs: pending.askedAtMs,
-          slot: decision.slot,
-          grayShare: service.grayShare,
-        });
-        pending.resolve({
-          kind: "placed",
-          placement: this.#buildPlacement(service, pending, decision.slot),
-        });
+        if (decision.slot.needsToken) {
+          void this.#acquireToken(service, pending, decision.slot);
+        } else {
+          this.#settlePlaced(service, pending, { slot: decision.slot });
+        }
         break;
       case "overloaded":
         pending.resolve(decision);
@@ -193,17 +195,65 @@
     }
   }
 
+  // The slot is kept while the VM that grants the server's tokens is asked.
+  async #acquireToken(
+    service: Balancer,
+    pending: PendingPlacement,
+    slot: TakenSlot,
+  ): Promise<void> {
+    const { limits, clock } = this.#options;
+    const { announced } = slot.server;
+    const verdict = await limits.client.take(announced, service.waitingCount);
+    const nowMs = clock.readMonotonicMs();
+    if (verdict.kind === "granted") {
+      service.grantToken(slot, nowMs);
+      this.#settlePlaced(service, pending, { slot, grant: verdict.grant });
+      this.#decideWaiting(service);
+      return;
+    }
+    this.#log.recordDeferred(pending.request, announced.id, verdict);
+    const { demand } = slot;
+    const waiter = { demand, arrivedAtMs: pending.askedAtMs, item: pending };
+    const decision = service.refuseToken(slot, waiter, {
+      nowMs,
+      untilMs: nowMs + verdict.retryAfterMs,
+    });
+    if (decision.kind === "waiting") {
+      this.#observeCaller(service, decision.waiter);
+      this.#scheduleTick();
+    } else {
+      this.#settle(service, pending, decision);
+    }
+  }
+
+  #settlePlaced(
+    service: Balancer,
+    pending: PendingPlacement,
+    granted: GrantedSlot,
+  ): void {
+    this.#log.recordPlaced({
+      request: pending.request,
+      askedAtMs: pending.askedAtMs,
+      slot: granted.slot,
+      grayShare: service.grayShare,
+    });
+    pending.resolve({
+      kind: "placed",
+      placement: this.#buildPlacement(service, pending, granted),
+    });
+  }
+
   #buildPlacement(
     service: Balancer,
     { request }: PendingPlacement,
-    slot: TakenSlot,
+    { slot, grant }: GrantedSlot,
   ): Placement {
     const { clock, guard, limits } = this.#options;
     const { announced } = slot.server;
     return {
       server: { ...announced, connections: Infinity },
       observeRateLimit: (notice) => {
-        limits.observe(announced, notice, request.context.id);
+        limits.observe(announced, notice, { id: request.context.id, grant });
       },
       complete: (sample) => {
         service.complete(slot, sample, clock.readMonotonicMs());
@@ -235,11 +285,16 @@
     waiter: Waiter<PendingPlacement>,
   ): void {
     const { request, resolve } = waiter.item;
-    request.signal.addEventListener("abort", () => {
+    const withdraw = (): void => {
       if (service.withdraw(waiter)) {
         resolve({ kind: "overloaded", retryAfterMs: 0 });
       }
-    }, { once: true });
+    };
+    if (request.signal.aborted) {
+      withdraw();
+    } else {
+      request.signal.addEventListener("abort", withdraw, { once: true });
+    }
   }
 
   #scheduleTick(): void {
--- a/packages/entry/src/fleet/server_limit_tracker.ts
+++ b/packages/entry/src/fleet/server_limit_tracker.ts
@@ -6,20 +6,23 @@
 } from "@limpetford/core/limits/server_limit_registry";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import {
-  RATE_LIMIT_NOTICE,
-  type RateLimitNotice,
-} from "@limpetford/domain/rate_limit_notice";
+import { type ServerId, toId } from "@limpetford/domain/ids";
+import type { ServerLimitRow } from "@limpetford/peer/fleet_sync";
 
 import type { FleetLog } from "./fleet_log.ts";
 
-/** Source in the log of a limit that this VM has seen in a response. */
+/** Source in the log of what this VM has seen in responses. */
 const SOURCE_OBSERVED = "observed";
 
+/** One start of a backend server. */
+export type ServerStart = Pick<AnnouncedServer, "id" | "startedAtMs">;
+
 /** Dependencies of a {@link ServerLimitTracker}. */
 export interface ServerLimitTrackerOptions {
   readonly clock: Clock;
   readonly log: FleetLog;
+  /** Called when this VM is the first to see a limit named, changed or ended. */
+  readonly notifyChange: () => void;
 }
 
 /** Keeps the newest known limit of each server, and logs its changes. */
@@ -30,7 +33,7 @@
   /**
    * Starts without any limit.
    *
-   * @param options - clock and log
+   * @param options - clock, log and listener
    */
   constructor(options: ServerLimitTrackerOptions) {
     this.#options = options;
@@ -51,53 +54,140 @@
    * @param server - the server, with the start that the limit must be of
    * @returns the limit or its end; undefined if nothing is known
    */
-  find(server: AnnouncedServer): ServerLimit | undefined {
+  find(server: ServerStart): ServerLimit | undefined {
     return this.#registry.find(server.id, server.startedAtMs);
   }
 
   /**
-   * Records what a response says of the limit of the server that sent it.
+   * Finds the limit of a server, to be sent to another VM.
+   *
+   * @param server - the server, with the start that the limit must be of
+   * @returns the limit or its end; undefined if nothing is known
+   */
+  findRow(server: ServerStart): ServerLimitRow | undefined {
+    const limit = this.find(server);
+    return limit && this.#buildRow(server.id, limit);
+  }
+
+  /**
+   * Lists the limits, to be sent to other VMs.
+   *
+   * @returns limits and ends of limits
+   */
+  listRows(): readonly ServerLimitRow[] {
+    return this.#registry.list().map(([server, limit]) =>
+      this.#buildRow(server, limit)
+    );
+  }
+
+  /**
+   * Records that a response names a limit.
    *
    * @param server - the server, as announced when the request was sent
-   * @param notice - limit named by the response
-   * @param request - identifier of the request
+   * @param requestsPerSecond - the limit, for all VMs together
+   */
+  recordNamed(server: ServerStart, requestsPerSecond: number): void {
+    this.#applyObserved(server, requestsPerSecond);
+  }
+
+  /**
+   * Records that a server has stopped naming a limit.
+   *
+   * @param server - the server
+   */
+  recordEnd(server: ServerStart): void {
+    this.#applyObserved(server, undefined);
+  }
+
+  /**
+   * Applies the end of a limit as another VM reports it.
+   *
+   * @param server - the server
+   * @param ageMs - time since the end
+   * @param source - the other VM
    */
-  observe(
-    server: AnnouncedServer,
-    notice: RateLimitNotice,
-    request: string,
+  applyEnd(server: ServerStart, ageMs: number, source: string): void {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    this.#apply(server.id, {
+      startedAtMs: server.startedAtMs,
+      requestsPerSecond: undefined,
+      knownAtMs: nowMs - ageMs,
+    }, source);
+  }
+
+  /**
+   * Applies limits as another VM reports them.
+   *
+   * @param rows - limits and ends of limits
+   * @param sentAtMs - monotonic time of this VM before which the rows cannot
+   * have been built; the end of a limit counts from it, a limit from now
+   * @param source - the other VM
+   */
+  applyRows(
+    rows: readonly ServerLimitRow[],
+    sentAtMs: number,
+    source: string,
   ): void {
-    switch (notice.kind) {
-      case RATE_LIMIT_NOTICE.none:
-        break;
-      case RATE_LIMIT_NOTICE.named:
-        this.#apply(server, {
-          startedAtMs: server.startedAtMs,
-          requestsPerSecond: notice.requestsPerSecond,
-          knownAtMs: this.#options.clock.readMonotonicMs(),
-        }, SOURCE_OBSERVED);
-        break;
-      case RATE_LIMIT_NOTICE.unreadable:
-        this.#options.log.record("server-limit-unreadable", {
-          server: server.id,
-          request,
-        });
-        break;
+    const nowMs = this.#options.clock.readMonotonicMs();
+    for (const row of rows) {
+      const builtAtMs = row.requestsPerSecond === undefined ? sentAtMs : nowMs;
+      this.#apply(toId<ServerId>(row.server), {
+        startedAtMs: row.startedAtMs,
+        requestsPerSecond: row.requestsPerSecond,
+        knownAtMs: builtAtMs - row.ageMs,
+      }, source);
     }
   }
 
-  #apply(
-    { id }: AnnouncedServer,
-    limit: ServerLimit,
-    source: string,
+  /**
+   * Drops the limits of servers that are gone or have restarted.
+   *
+   * @param servers - the present servers
+   */
+  expire(servers: readonly ServerStart[]): void {
+    this.#registry.expire(
+      new Map(servers.map(({ id, startedAtMs }) => [id, startedAtMs])),
+      this.#options.clock.readMonotonicMs(),
+    );
+  }
+
+  #applyObserved(
+    { id, startedAtMs }: ServerStart,
+    requestsPerSecond: number | undefined,
   ): void {
-    const hasChanged = this.#registry.apply(id, limit);
-    if (hasChanged && limit.requestsPerSecond !== undefined) {
-      this.#options.log.record("server-limit-named", {
+    const knownAtMs = this.#options.clock.readMonotonicMs();
+    const limit = { startedAtMs, requestsPerSecond, knownAtMs };
+    if (this.#apply(id, limit, SOURCE_OBSERVED)) {
+      this.#options.notifyChange();
+    }
+  }
+
+  #apply(id: ServerId, limit: ServerLimit, source: string): boolean {
+    if (!this.#registry.apply(id, limit)) {
+      return false;
+    }
+    const { log } = this.#options;
+    const { requestsPerSecond } = limit;
+    if (requestsPerSecond === undefined) {
+      log.record("server-limit-ended", { server: id, source });
+    } else {
+      log.record("server-limit-named", {
         server: id,
-        requestsPerSecond: limit.requestsPerSecond,
+        requestsPerSecond,
         source,
       });
     }
+    return true;
+  }
+
+  #buildRow(server: ServerId, limit: ServerLimit): ServerLimitRow {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    const { startedAtMs, requestsPerSecond, knownAtMs } = limit;
+    return {
+      server,
+      startedAtMs,
+      ...requestsPerSecond === undefined ? {} : { requestsPerSecond },
+      ageMs: Math.round(nowMs - knownAtMs),
+    };
   }
 }
--- a/packages/entry/src/fleet/service_balancers.ts
+++ b/packages/entry/src/fleet/service_balancers.ts
@@ -1,10 +1,8 @@
 /** The load balancers of all services at one VM. */
 
 import type { RetryLimits } from "@limpetford/core/placement/retry_token_bucket";
-import {
-  type ServerEvidence,
-  ServicePlacement,
-} from "@limpetford/core/placement/service_placement";
+import type { ServerEvidence } from "@limpetford/core/placement/server_evidence";
+import { ServicePlacement } from "@limpetford/core/placement/service_placement";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { RandomSource } from "@limpetford/core/time/random_source";
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
@@ -26,6 +24,8 @@
   readonly zone: ZoneId;
   /** Limits of the extra attempts for each service. */
   readonly retryBounds: RetryLimits;
+  /** Finds the rate limit that a server names, in requests per second. */
+  readonly findRateLimit: (server: AnnouncedServer) => number | undefined;
 }
 
 /** A request that has asked for a slot. */
@@ -186,7 +186,7 @@
   }
 
   #updateServers(): void {
-    const { state, clock, random, zone, retryBounds } = this.#options;
+    const { state, clock, ...options } = this.#options;
     const nowMs = clock.readMonotonicMs();
     const byService = new Map<ServiceId, AnnouncedServer[]>();
     for (const { id } of state.active?.configuration.services ?? []) {
@@ -200,7 +200,7 @@
     for (const [id, servers] of byService) {
       const known = this.#services.get(id);
       const service = known ??
-        new ServicePlacement<PendingPlacement>({ zone, random, retryBounds });
+        new ServicePlacement<PendingPlacement>(options);
       service.setVmCount(this.#vmCount);
       service.setServers(servers, nowMs);
       this.#services.set(id, service);
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -2,7 +2,7 @@
 
 import { compareLogPositions } from "@limpetford/core/fleet/log_position";
 import { EVIDENCE } from "@limpetford/core/placement/gray_failure_estimator";
-import type { ServerEvidence } from "@limpetford/core/placement/service_placement";
+import type { ServerEvidence } from "@limpetford/core/placement/server_evidence";
 import type { Clock } from "@limpetford/core/time/clock";
 import { type ServerId, type TeamId, toId } from "@limpetford/domain/ids";
 import type { Vm } from "@limpetford/domain/vm";
@@ -15,6 +15,7 @@
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetPeers, PeerState } from "./fleet_peers.ts";
 import type { FleetState } from "./fleet_state.ts";
+import type { ServerLimitTracker } from "./server_limit_tracker.ts";
 import type { ServiceBalancers } from "./service_balancers.ts";
 import type { SharedRateLimiter } from "./shared_rate_limiter.ts";
 import type { SuspicionSync } from "./suspicion_sync.ts";
@@ -30,6 +31,7 @@
   readonly balancers: ServiceBalancers;
   readonly limiter: SharedRateLimiter;
   readonly suspicions: SuspicionSync;
+  readonly serverLimits: ServerLimitTracker;
   readonly clock: Clock;
   readonly log: FleetLog;
 }
@@ -63,6 +65,11 @@
       message.suspicions,
     );
     message.vms?.forEach((vm) => state.applyVm(vm));
+    this.#options.serverLimits.applyRows(
+      message.serverLimits ?? [],
+      sentAtMs,
+      message.from,
+    );
     if (message.storeEra !== undefined) {
       state.observeStoreEra(message.storeEra);
       this.#applyConfiguration(message, sentAtMs);
@@ -216,6 +223,7 @@
       },
       vmCount: vms.length,
       suspicions: suspicions.buildUpdate(peer),
+      serverLimits: this.#options.serverLimits.listRows(),
       ...recentPeer !== undefined && recentPeer.vmCount !== vms.length
         ? { vms }
         : {},
--- a/packages/entry/src/fleet/sync_messages_test.ts
+++ b/packages/entry/src/fleet/sync_messages_test.ts
@@ -166,7 +166,7 @@
     recordCrash(b, ["crashing"]);
     sendExchange();
     sendExchange();
-    a = new ExchangeSide("a", clock, 2);
+    a = new ExchangeSide("a", clock, { startedAtMs: 2 });
     sendExchange();
     sendExchange();
     expect(a.crashes.registry.findStatus("crashing")).toBe("suspect");
--- a/packages/peer/src/fleet_calls.ts
+++ b/packages/peer/src/fleet_calls.ts
@@ -10,6 +10,9 @@
   EmptyReply,
   EvidenceNotice,
   FleetSyncHandlers,
+  ServerLimitReport,
+  ServerTokenReply,
+  ServerTokenRequest,
   SyncMessage,
   TokenReply,
   TokenRequest,
@@ -20,6 +23,8 @@
   exchange: "/exchange",
   evidence: "/evidence",
   token: "/token",
+  serverToken: "/server-token",
+  serverLimit: "/server-limit",
 } as const;
 const STATUS_OK = 200;
 const STATUS_BAD_REQUEST = 400;
@@ -87,6 +92,38 @@
     return await this.#send<TokenReply>(PATH.token, request, options);
   }
 
+  /**
+   * Requests one token of a backend server's rate limit.
+   *
+   * @param request - the limit as far as this VM knows it
+   * @param options - destination and timeout
+   * @returns whether the token is granted, or why there is no reply
+   */
+  async sendServerTokenRequest(
+    request: ServerTokenRequest,
+    options: FleetCallOptions,
+  ): Promise<Result<ServerTokenReply, PeerError>> {
+    return await this.#send<ServerTokenReply>(
+      PATH.serverToken,
+      request,
+      options,
+    );
+  }
+
+  /**
+   * Reports what a response says of its server's rate limit.
+   *
+   * @param report - the server and its limit
+   * @param options - destination and timeout
+   * @returns an empty reply, or why the report may not have arrived
+   */
+  async sendServerLimitReport(
+    report: ServerLimitReport,
+    options: FleetCallOptions,
+  ): Promise<Result<EmptyReply, PeerError>> {
+    return await this.#send<EmptyReply>(PATH.serverLimit, report, options);
+  }
+
   /** Closes all connections. */
   async close(): Promise<void> {
     await this.#agent.destroy();
@@ -199,6 +236,13 @@
         return {};
       case PATH.token:
         return this.#handlers.handleTokenRequest(message as TokenRequest);
+      case PATH.serverToken:
+        return this.#handlers.handleServerTokenRequest(
+          message as ServerTokenRequest,
+        );
+      case PATH.serverLimit:
+        this.#handlers.handleServerLimitReport(message as ServerLimitReport);
+        return {};
       default:
         return undefined;
     }
--- a/packages/peer/src/fleet_sync.ts
+++ b/packages/peer/src/fleet_sync.ts
@@ -137,6 +137,58 @@
   readonly report?: ServingReport;
   /** Absent in messages of VMs that run an earlier version. */
   readonly suspicions?: SuspicionUpdate;
+  /** Like `suspicions`. */
+  readonly serverLimits?: readonly ServerLimitRow[];
+}
+
+/** Rate limit of a backend server, or the end of one. */
+export interface ServerLimitRow {
+  readonly server: string;
+  /** Wall-clock start time of the server that named it, in milliseconds. */
+  readonly startedAtMs: number;
+  /** For all VMs together; absent if the limit has ended. */
+  readonly requestsPerSecond?: number;
+  /** Time since it was last known to hold, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/**
+ * Asks the VM that grants the tokens of a backend server's rate limit for one.
+ */
+export interface ServerTokenRequest {
+  /** The limit as far as the sender knows it. */
+  readonly limit: ServerLimitRow;
+  /** Availability zone of the server. */
+  readonly zone: string;
+}
+
+/** Proof that a VM granted a token, for the report of the response. */
+export interface TokenGrant {
+  readonly vm: VmId;
+  /** Wall-clock start time of the VM's process, in milliseconds. */
+  readonly startedAtMs: number;
+  /** Monotonic clock of that process, in milliseconds. */
+  readonly clockMs: number;
+}
+
+/** Reply to a {@link ServerTokenRequest}. */
+export type ServerTokenReply =
+  | { readonly kind: "granted"; readonly grant: TokenGrant }
+  /** `retryAfterMs` until the next token. */
+  | { readonly kind: "refused"; readonly retryAfterMs: number }
+  /** The receiver does not grant this server's tokens. */
+  | { readonly kind: "not-owner" }
+  /** The server no longer names a limit. */
+  | { readonly kind: "ended"; readonly ageMs: number };
+
+/** What a response says of its server's rate limit, for the VM that grants. */
+export interface ServerLimitReport {
+  readonly server: string;
+  readonly startedAtMs: number;
+  /** Absent if the response names no limit. */
+  readonly requestsPerSecond?: number;
+  /** Grant of the request; absent if it was sent without one. */
+  readonly grant?: TokenGrant;
 }
 
 /** Requests one token of a team from a VM that serves callers. */
@@ -159,4 +211,10 @@
   readonly handleEvidence: (notice: EvidenceNotice) => void;
   /** Grants or refuses a token. */
   readonly handleTokenRequest: (request: TokenRequest) => TokenReply;
+  /** Grants or refuses a token of a server's rate limit. */
+  readonly handleServerTokenRequest: (
+    request: ServerTokenRequest,
+  ) => ServerTokenReply;
+  /** Applies what a response says of its server's rate limit. */
+  readonly handleServerLimitReport: (report: ServerLimitReport) => void;
 }
--- a/packages/standins/src/fleet/server_limit_test.ts
+++ b/packages/standins/src/fleet/server_limit_test.ts
@@ -111,7 +111,7 @@
       ALLOWED_EXTRA;
   }
 
-  async function restartVm(index: number): Promise<void> {
+  async function runAgain(index: number): Promise<void> {
     const vm = fleet.vms[index];
     if (vm !== undefined) {
       vm.sendSignal("SIGKILL");
@@ -132,7 +132,7 @@
       const lastMs = ownMs + 14_000;
       const sending = sendRequests(14_000);
       await waitMs(7_000);
-      await restartVm(1);
+      await runAgain(1);
       const sent = await sending;
       const served = sent.filter(({ response }) =>
         response.status === STATUS_OK
@@ -144,9 +144,10 @@
         expect({ limit, isKept: most <= computeAllowed(Number(limit)), most })
           .toEqual({ limit, isKept: true, most });
       });
-      const used = findServer(2).received.filter(({ receivedAtMs }) =>
-        receivedAtMs > ownMs + REACTION_MS && receivedAtMs < lastMs
-      ).length;
+      const used =
+        findServer(2).received.filter(({ receivedAtMs }) =>
+          receivedAtMs > ownMs + REACTION_MS && receivedAtMs < lastMs
+        ).length;
       expect(used).toBeGreaterThan(MIN_USED_SHARE * 8 * 11);
 
       for (const server of fleet.servers) {
