fix(entry): a VM that is not a leader refuses what the leaders refuse

What callers saw: a team over its limit got requests at VMs that callers of an old directory answer still use: each granted 0.02 of the limit and one token after all leaders had refused (41 such VMs: 0.82 of the limit and 41 requests more). Cause: the share for leaders that do not answer was also used when they answered no. Fix: the share is used only if no leader answered; leaders that are silent are not remembered as exhausted. Test: shared_rate_limiter_test, 3 of 40 granted before, 0 now; with silent leaders 1 to 5 of 40 in 20 s, as before.

--- a/packages/entry/src/fleet/shared_rate_limiter.ts
+++ b/packages/entry/src/fleet/shared_rate_limiter.ts
@@ -179,7 +179,8 @@
     if (waitMs > 0) {
       waitMs = Math.min(waitMs, await this.#takeFromLeaders(team));
     }
-    if (waitMs > 0 && !isLeader) {
+    if (waitMs === Infinity && !isLeader) {
+      // No leader answered. What leaders refuse, this VM refuses too.
       waitMs = this.#takeLocal(team, limit);
     }
     if (waitMs === 0) {
@@ -214,7 +215,9 @@
       }
       shortestMs = Math.min(shortestMs, reply?.retryAfterMs ?? Infinity);
     }
-    this.#exhaustedUntilMs.set(team, nowMs + toRetryAfterMs(shortestMs));
+    if (Number.isFinite(shortestMs)) {
+      this.#exhaustedUntilMs.set(team, nowMs + toRetryAfterMs(shortestMs));
+    }
     return shortestMs;
   }
 
