fix(entry): tell other VMs of changed limits only, in bounded messages

Cause: each exchange carried a row for every server with a limit; 8,500 servers that all name one would make 0.5 MB a message, 3 KB a second is allowed.

--- a/packages/core/src/limits/server_limit_registry.ts
+++ b/packages/core/src/limits/server_limit_registry.ts
@@ -17,9 +17,15 @@
   readonly knownAtMs: number;
 }
 
+interface RegisteredLimit extends ServerLimit {
+  /** Monotonic time of the last change of the limit in force. */
+  readonly changedAtMs: number;
+}
+
 /** Holds the newest known limit of each server. */
 export class ServerLimitRegistry {
-  readonly #limits = new Map<ServerId, ServerLimit>();
+  // In the order of the last change, the newest last.
+  readonly #limits = new Map<ServerId, RegisteredLimit>();
 
   /**
    * Counts the servers with a limit.
@@ -33,12 +39,18 @@
   }
 
   /**
-   * Lists all limits, and the ends of limits that are still remembered.
+   * Lists limits, and the ends of limits that are still remembered.
    *
-   * @returns servers and their limits
+   * @param sinceMs - monotonic time; limits that have not changed since are left
+   * out
+   * @returns servers and their limits, in the order of their last change
    */
-  list(): readonly (readonly [ServerId, ServerLimit])[] {
-    return [...this.#limits];
+  listChangedSince(
+    sinceMs: number,
+  ): readonly (readonly [ServerId, ServerLimit])[] {
+    return [...this.#limits].filter(([, { changedAtMs }]) =>
+      changedAtMs >= sinceMs
+    );
   }
 
   /**
@@ -59,9 +71,10 @@
    *
    * @param server - the server
    * @param limit - its limit, or the end of it
+   * @param nowMs - monotonic time
    * @returns true if the limit in force has changed
    */
-  apply(server: ServerId, limit: ServerLimit): boolean {
+  apply(server: ServerId, limit: ServerLimit, nowMs: number): boolean {
     const known = this.#limits.get(server);
     const isOutdated = known !== undefined &&
       (limit.startedAtMs < known.startedAtMs ||
@@ -70,11 +83,14 @@
     if (isOutdated) {
       return false;
     }
-    this.#limits.set(server, limit);
-    const before = known?.startedAtMs === limit.startedAtMs
-      ? known.requestsPerSecond
-      : undefined;
-    return before !== limit.requestsPerSecond;
+    const before = known?.startedAtMs === limit.startedAtMs ? known : undefined;
+    const hasChanged = before?.requestsPerSecond !== limit.requestsPerSecond;
+    if (hasChanged) {
+      this.#limits.delete(server);
+    }
+    const changedAtMs = hasChanged ? nowMs : before?.changedAtMs ?? nowMs;
+    this.#limits.set(server, { ...limit, changedAtMs });
+    return hasChanged;
   }
 
   /**
--- a/packages/entry/src/fleet/fleet_peers.ts
+++ b/packages/entry/src/fleet/fleet_peers.ts
@@ -25,6 +25,8 @@
 /** State of one other VM, as last reported. */
 export interface PeerState {
   readonly vm: VmId;
+  /** Monotonic time since which this start of the VM is known. */
+  readonly knownSinceMs: number;
   /** Monotonic time of its last message; -Infinity without one. */
   heardAtMs: number;
   /** Monotonic time until which it counts as unavailable. */
@@ -115,6 +117,7 @@
     }
     const created: PeerState = {
       vm: id,
+      knownSinceMs: this.#clock.readMonotonicMs(),
       heardAtMs: -Infinity,
       suspectedUntilMs: 0,
       isLeaving: false,
--- a/packages/entry/src/fleet/server_limit_tracker.ts
+++ b/packages/entry/src/fleet/server_limit_tracker.ts
@@ -14,6 +14,11 @@
 /** Source in the log of what this VM has seen in responses. */
 const SOURCE_OBSERVED = "observed";
 
+/** Time for which a change is told to other VMs. */
+const CHANGE_TOLD_MS = 3_000;
+/** Most limits in one message. A VM that lacks one hears it from the server. */
+const MAX_ROWS = 200;
+
 /** One start of a backend server. */
 export type ServerStart = Pick<AnnouncedServer, "id" | "startedAtMs">;
 
@@ -70,14 +75,20 @@
   }
 
   /**
-   * Lists the limits, to be sent to other VMs.
+   * Lists the limits that another VM may not have heard of.
    *
-   * @returns limits and ends of limits
+   * @param knownForMs - time for which this VM has known the other one
+   * @returns limits and ends of limits that changed lately; for a VM that is new
+   * all of them, up to a bound
    */
-  listRows(): readonly ServerLimitRow[] {
-    return this.#registry.list().map(([server, limit]) =>
-      this.#buildRow(server, limit)
-    );
+  listRows(knownForMs: number): readonly ServerLimitRow[] {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    const sinceMs = knownForMs < CHANGE_TOLD_MS
+      ? -Infinity
+      : nowMs - CHANGE_TOLD_MS;
+    return this.#registry.listChangedSince(sinceMs).slice(-MAX_ROWS).map((
+      [server, limit],
+    ) => this.#buildRow(server, limit));
   }
 
   /**
@@ -163,7 +174,8 @@
   }
 
   #apply(id: ServerId, limit: ServerLimit, source: string): boolean {
-    if (!this.#registry.apply(id, limit)) {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    if (!this.#registry.apply(id, limit, nowMs)) {
       return false;
     }
     const { log } = this.#options;
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -229,7 +229,9 @@
       },
       vmCount: vms.length,
       suspicions: suspicions.buildUpdate(peer),
-      serverLimits: this.#options.serverLimits.listRows(),
+      serverLimits: this.#options.serverLimits.listRows(
+        peer === undefined ? 0 : nowMs - peer.knownSinceMs,
+      ),
       ...recentPeer !== undefined && recentPeer.vmCount !== vms.length
         ? { vms }
         : {},
