fix(entry): an answer without a length that was reset is not complete

Cause: if data and a reset of the connection are pending when the process next polls it, as when it is busy or was frozen, the event loop reports the data and then an orderly end; the error is lost, and hasBeenReset sees none. Fix: at the end of such an answer, a connection without a peer was reset; one that the server closed keeps its peer until this side closes it. Ruled out: a close in order by the stand-in servers (their half answers end in resets only).

--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -87,6 +87,7 @@
   #pendingChunk: Buffer | undefined;
   #isFlushScheduled = false;
   #hasEnded = false;
+  #wasReset = false;
   #isFinished = false;
   #isDispatchDenied = false;
 
@@ -264,6 +265,7 @@
       return;
     }
     this.#hasEnded = true;
+    this.#wasReset = !this.#isSelfDelimited && !this.#connection.hasPeer();
     this.#scheduleFlush();
   }
 
@@ -309,7 +311,7 @@
       }
     } else if (this.#connection.hasUnsolicitedBytes()) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
-    } else if (!this.#isSelfDelimited && this.#connection.hasBeenReset()) {
+    } else if (this.#wasReset || this.#isCutOff()) {
       this.#reportFailure({ outcome: "cut", isMalformed: false });
     } else {
       this.#isFinished = true;
@@ -318,6 +320,10 @@
     }
   }
 
+  #isCutOff(): boolean {
+    return !this.#isSelfDelimited && this.#connection.hasBeenReset();
+  }
+
   #deliver(chunk: Buffer): void {
     if (!this.#listener.receiveChunk(this, chunk)) {
       this.#controller?.pause();
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -97,6 +97,17 @@
       error.code?.startsWith(CLIENT_CODE_PREFIX) !== true;
   }
 
+  /**
+   * Checks whether the connection still has a peer. After data and a reset that
+   * are read together, the event loop reports an orderly end. A connection that
+   * the server closed in an orderly way keeps its peer until this side closes it.
+   *
+   * @returns false if the connection was reset; only meaningful at its end
+   */
+  hasPeer(): boolean {
+    return this.socket?.remoteAddress !== undefined;
+  }
+
   /** Destroys the socket and aborts the request that uses it. */
   abort(): void {
     this.client.destroy().catch(() => undefined);
