--- a/packages/standins/src/platform/tcp_fault_proxy.ts
+++ b/packages/standins/src/platform/tcp_fault_proxy.ts
@@ -108,10 +108,10 @@
     const upstream = net.connect(this.#target);
     const connection = { downstream, upstream };
     this.#connections.add(connection);
-    downstream.pipe(upstream);
-    upstream.pipe(downstream);
     this.#forwardClose(connection, downstream, upstream);
     this.#forwardClose(connection, upstream, downstream);
+    downstream.pipe(upstream);
+    upstream.pipe(downstream);
     this.#applyFault(connection);
   }
 
@@ -125,6 +125,13 @@
     from.on("error", () => {
       resetSocket(to);
     });
+    // A reset that is read together with data is reported as an orderly end; the
+    // connection then has no peer any more.
+    from.on("end", () => {
+      if (from.remoteAddress === undefined) {
+        resetSocket(to);
+      }
+    });
     from.on("close", () => {
       this.#connections.delete(connection);
       to.destroySoon();
