test(standins): a server of the process soak names a rate limit

One of the four servers names 0, 0.5, 2 or 5 a second, by seed, for the whole run; from 3 s after the last fault it must get no more than the users' rule allows. What comes while VMs are killed and start again is not judged: a VM that starts knows no limit.

--- a/packages/standins/src/process_soak/process_soak.ts
+++ b/packages/standins/src/process_soak/process_soak.ts
@@ -9,6 +9,7 @@
 import { generateSchedule, type ScheduledFault } from "./process_fault.ts";
 import {
   findLateRuns,
+  findLimitExcess,
   findViolations,
   type RequestRun,
   type SentRequest,
@@ -32,8 +33,10 @@
 const CRASHING_TARGETS = ["/read/crash", "/book/crash"] as const;
 const CRASH_DELAY_MS = 40;
 const CRASH_DOWN_MS = 1_200;
-/** How long that request is sent after the faults have ended. */
-const CRASHING_AFTER_FAULTS_MS = 6_000;
+/** How long requests are sent after the faults have ended. */
+const AFTER_FAULTS_MS = 6_000;
+/** Rate limits, of which one server names one, in requests per second. */
+const NAMED_LIMITS = [0, 0.5, 2, 5] as const;
 /** Share of the idempotent requests that are equal to each other. */
 const POPULAR_SHARE = 0.4;
 /** Consecutive successful requests that prove recovery. */
@@ -69,6 +72,7 @@
   readonly #violations: string[] = [];
   readonly #faultInjector = new FaultInjector(this.#fleet);
   readonly #crashingTarget: string;
+  readonly #namedLimit: number;
   #faultsEndedAtMs = Infinity;
 
   /**
@@ -81,6 +85,7 @@
     this.#random = new SeededRandomSource(options.seed);
     this.#crashingTarget =
       CRASHING_TARGETS[this.#random.pickIndex(CRASHING_TARGETS.length)] ?? "";
+    this.#namedLimit = NAMED_LIMITS[options.seed % NAMED_LIMITS.length] ?? 0;
   }
 
   /**
@@ -106,15 +111,22 @@
           downMs: CRASH_DOWN_MS,
         };
       }
+      const [limited] = this.#fleet.servers;
+      if (limited !== undefined) {
+        limited.chooseNamedLimit = () => String(this.#namedLimit);
+      }
       const crashing = this.#sendCrashingRequests(
-        lengthMs + CRASHING_AFTER_FAULTS_MS,
+        lengthMs + AFTER_FAULTS_MS,
       );
       await Promise.all([
         this.#sendRequests(lengthMs),
         ...faults.map((scheduled) => this.#faultInjector.run(scheduled)),
       ]);
       await this.#checkRecovery();
-      await crashing;
+      await Promise.all([
+        this.#sendRequests(AFTER_FAULTS_MS),
+        crashing,
+      ]);
     } finally {
       await this.#fleet.stop();
     }
@@ -131,6 +143,13 @@
           ranAtMs: this.#listCrashingRuns(),
           faultsEndedAtMs: this.#faultsEndedAtMs,
         }),
+        ...findLimitExcess({
+          limit: this.#namedLimit,
+          receivedAtMs: this.#fleet.servers[0]?.received.map(
+            ({ receivedAtMs }) => receivedAtMs,
+          ) ?? [],
+          faultsEndedAtMs: this.#faultsEndedAtMs,
+        }),
         ...findViolations({ sent: this.#sent, runs: this.#listRuns() }),
       ],
       logs: this.#fleet.vms.map(({ log }) => log),
--- a/packages/standins/src/process_soak/soak_checks.ts
+++ b/packages/standins/src/process_soak/soak_checks.ts
@@ -60,6 +60,50 @@
     : [];
 }
 
+/** Length of the windows in which a server's requests are counted. */
+const LIMIT_WINDOW_MS = 4_000;
+/** What the users' rules allow in a window: this multiple of the limit ... */
+const LIMIT_FACTOR = 1.5;
+/** ... and this number of requests more. */
+const LIMIT_EXTRA = 5;
+
+/** Requests to a server that names a rate limit. */
+export interface LimitObservations {
+  /** Requests per second that the server names. */
+  readonly limit: number;
+  /** Wall-clock times of its requests, in milliseconds. */
+  readonly receivedAtMs: readonly number[];
+  /** Wall-clock time of the end of the last injected fault, in milliseconds. */
+  readonly faultsEndedAtMs: number;
+}
+
+/**
+ * Checks that a server got no more than the rate limit that it names. What came
+ * while faults were injected does not count, since VMs that have started know no
+ * limit.
+ *
+ * @param observations - the limit, its requests and the end of the faults
+ * @returns a message for the violation, if there is one
+ */
+export function findLimitExcess(
+  { limit, receivedAtMs, faultsEndedAtMs }: LimitObservations,
+): readonly string[] {
+  const times = receivedAtMs.filter((atMs) =>
+    atMs > faultsEndedAtMs + REACTION_MS
+  );
+  const most = Math.max(
+    0,
+    ...times.map((first) =>
+      times.filter((atMs) => atMs >= first && atMs < first + LIMIT_WINDOW_MS)
+        .length
+    ),
+  );
+  const allowed = LIMIT_FACTOR * limit * LIMIT_WINDOW_MS / 1_000 + LIMIT_EXTRA;
+  return most > allowed
+    ? [`a server that names a limit of ${limit}/s got ${most} requests in 4 s`]
+    : [];
+}
+
 /** Requests of the callers and executions at the backend servers of a soak. */
 export interface SoakObservations {
   readonly sent: readonly SentRequest[];
--- a/packages/standins/src/process_soak/soak_checks_test.ts
+++ b/packages/standins/src/process_soak/soak_checks_test.ts
@@ -1,5 +1,6 @@
 import {
   findLateRuns,
+  findLimitExcess,
   findViolations,
   type SentRequest,
 } from "./soak_checks.ts";
@@ -112,3 +113,15 @@
     );
   });
 });
+
+describe("findLimitExcess", () => {
+  const within = Array.from({ length: 11 }, (_, index) => 4_000 + index * 300);
+  it.each([
+    ["keeps the limit", within, 0],
+    ["exceeds it", [...within, 4_100], 1],
+    ["exceeds it while faults are injected", [...within, 900, 950, 960], 0],
+  ])("finds a server that %s", (_, receivedAtMs, expected) => {
+    const observed = { limit: 1, receivedAtMs, faultsEndedAtMs: 0 };
+    expect(findLimitExcess(observed)).toHaveLength(expected);
+  });
+});
