fix(entry): observe the caller of a queued request once

Cause: a request that is refused a token is queued again, up to once for each server with a limit, and each time added a listener for its caller's leaving: from the eleventh on a warning of the runtime outside the log, a line a request.

--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -56,6 +56,11 @@
 export class PlacementRouter extends ServerRouter {
   readonly #options: PlacementRouterOptions;
   readonly #log: PlacementLog;
+  /** Queue entries of the requests that have been queued. */
+  readonly #waiters = new WeakMap<
+    PendingPlacement,
+    Waiter<PendingPlacement>
+  >();
   #isTickScheduled = false;
   #requestedAtMs = -Infinity;
   #failureListener: (() => void) | undefined;
@@ -279,21 +284,28 @@
     }
   }
 
-  // A queued request must not take a slot after its caller has disconnected.
+  // A queued request must not take a slot after its caller has disconnected. A
+  // request may be queued many times, but its caller is observed once.
   #observeCaller(
     service: Balancer,
     waiter: Waiter<PendingPlacement>,
   ): void {
-    const { request, resolve } = waiter.item;
-    const withdraw = (): void => {
-      if (service.withdraw(waiter)) {
-        resolve({ kind: "overloaded", retryAfterMs: 0 });
-      }
-    };
-    if (request.signal.aborted) {
-      withdraw();
-    } else {
-      request.signal.addEventListener("abort", withdraw, { once: true });
+    const { item } = waiter;
+    const isObserved = this.#waiters.has(item);
+    this.#waiters.set(item, waiter);
+    if (item.request.signal.aborted) {
+      this.#withdraw(service, item);
+    } else if (!isObserved) {
+      item.request.signal.addEventListener("abort", () => {
+        this.#withdraw(service, item);
+      }, { once: true });
+    }
+  }
+
+  #withdraw(service: Balancer, pending: PendingPlacement): void {
+    const waiter = this.#waiters.get(pending);
+    if (waiter !== undefined && service.withdraw(waiter)) {
+      pending.resolve({ kind: "overloaded", retryAfterMs: 0 });
     }
   }
 
--- a/packages/standins/src/fleet/server_limit_test.ts
+++ b/packages/standins/src/fleet/server_limit_test.ts
@@ -204,6 +204,9 @@
         answeredAtMs - sentAtMs < 500
       );
       expect(atOnce.length / refused.length).toBeGreaterThan(0.9);
+      // Each request is queued many times.
+      expect(fleet.vms.map(({ log }) => log).join("\n"))
+        .not.toContain("MaxListenersExceededWarning");
     },
     60_000,
   );
