fix: VMs that have lost sight of each other meet again

A leader calls only the leaders that it knows, a follower only its leader; lists of VMs were compared by their length alone, so that two lists of the same length were never joined; the store's list was read by VMs alone that reached nobody. Ruled out: limits granted by the groups themselves (each kept its own). Change: leaders call seeds they have never heard and, as first leader, silent VMs of their zone, with pauses from 0.5 to 5 s; the first reader reads the VM list every 5 s; lists are compared by a digest; claims of VMs that come with a message count at once.

--- a/packages/entry/src/fakes/exchange_side.ts
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -1,6 +1,6 @@
 /** One VM's side of the exchange between VMs, without any network. */
 
-import type { FakeClock } from "@limpetford/core/time/fake_clock";
+import type { Clock } from "@limpetford/core/time/clock";
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 import {
   type RegionId,
@@ -9,7 +9,7 @@
   type ZoneId,
 } from "@limpetford/domain/ids";
 import { makeError } from "@limpetford/domain/result";
-import type { Vm } from "@limpetford/domain/vm";
+import type { SocketAddress, Vm } from "@limpetford/domain/vm";
 import { StoreClient } from "@limpetford/platform/store/store_client";
 
 import { TcpConnectProbe } from "../fleet/connect_probe.ts";
@@ -54,6 +54,8 @@
   readonly startedAtMs?: number;
   /** Availability zone; default `z`. */
   readonly zone?: string;
+  /** Address for calls between VMs; by default nothing listens on it. */
+  readonly peerAddress?: SocketAddress;
   /** Overrides of the options of the limiter, which else is the only one. */
   readonly limiter?: Partial<SharedRateLimiterOptions>;
   /** Calls for the tokens of servers' rate limits; by default all are lost. */
@@ -72,6 +74,8 @@
   readonly state: FleetState;
   readonly peers: FleetPeers;
   readonly messages: SyncMessages;
+  readonly balancers: ServiceBalancers;
+  readonly log: FleetLog;
   readonly crashes: CrashProtection;
   readonly limits: ServerRateLimits;
   readonly limiter: SharedRateLimiter;
@@ -85,16 +89,20 @@
    */
   constructor(
     id: string,
-    clock: FakeClock,
+    clock: Clock,
     options: ExchangeSideOptions = {},
   ) {
-    this.self = buildExchangeVm(id, options.startedAtMs, options.zone);
+    const self = buildExchangeVm(id, options.startedAtMs, options.zone);
+    this.self = {
+      ...self,
+      peerAddress: options.peerAddress ?? self.peerAddress,
+    };
     this.state = new FleetState(clock);
     this.state.applyVm(this.self);
     this.state.markCrashingRequestsKnown();
     this.peers = new FleetPeers(this.self, this.state, clock);
-    const log = new FleetLog({ clock, level: "error", vm: id });
-    const { self, state, peers } = this;
+    this.log = new FleetLog({ clock, level: "error", vm: id });
+    const { state, peers, log } = this;
     this.crashes = new CrashProtection({
       probe: new TcpConnectProbe(),
       client: new StoreClient({ host: "127.0.0.1", port: 1 }),
@@ -105,7 +113,7 @@
       handleInformed: () => undefined,
     });
     this.limits = new ServerRateLimits({
-      self,
+      self: this.self,
       state,
       peers,
       clock,
@@ -114,16 +122,16 @@
       notifyChange: () => undefined,
       calls: options.calls ?? LOST_CALLS,
     });
-    const balancers = new ServiceBalancers({
+    this.balancers = new ServiceBalancers({
       state,
       clock,
       random: new SeededRandomSource(1),
-      zone: self.zone,
+      zone: this.self.zone,
       retryBounds: { ratio: 0.2, slack: 60 },
       findRateLimit: () => undefined,
     });
     this.limiter = new SharedRateLimiter({
-      self,
+      self: this.self,
       state,
       peers,
       clock,
@@ -135,10 +143,10 @@
       ...options.limiter,
     });
     this.messages = new SyncMessages({
-      self,
+      self: this.self,
       state,
       peers,
-      balancers,
+      balancers: this.balancers,
       limiter: this.limiter,
       suspicions: this.crashes.suspicions,
       serverLimits: this.limits.tracker,
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -2,13 +2,14 @@
 
 import { EVIDENCE } from "@limpetford/core/placement/gray_failure_estimator";
 import type { VmId } from "@limpetford/domain/ids";
-import type { Vm } from "@limpetford/domain/vm";
+import type { SocketAddress, Vm } from "@limpetford/domain/vm";
 import {
   type FleetCallClient,
   FleetCallServer,
 } from "@limpetford/peer/fleet_calls";
 import type { EvidenceRow, SyncMessage } from "@limpetford/peer/fleet_sync";
 
+import { FleetContacts } from "./fleet_contacts.ts";
 import type { ServerTokenIssuer } from "./server_token_issuer.ts";
 import type { SuspicionNotice } from "./suspicion_sync.ts";
 import {
@@ -36,7 +37,7 @@
 export interface FleetExchangeOptions extends SyncMessagesOptions {
   readonly client: FleetCallClient;
   /** Peer addresses to call while no other VM is known. */
-  readonly seeds: readonly Vm["peerAddress"][];
+  readonly seeds: readonly SocketAddress[];
   readonly tokenIssuer: ServerTokenIssuer;
 }
 
@@ -62,12 +63,7 @@
   #timer: NodeJS.Timeout | undefined;
   #tickedAtMs = 0;
   #zoneLeader: VmId | undefined;
-  #seedIndex = 0;
-  readonly #seedPartner: Partner = {
-    nextAtMs: 0,
-    isCalling: false,
-    evidence: [],
-  };
+  readonly #contacts: FleetContacts;
   #isStopped = false;
 
   /**
@@ -78,6 +74,10 @@
   constructor(options: FleetExchangeOptions) {
     this.#options = options;
     this.#messages = new SyncMessages(options);
+    this.#contacts = new FleetContacts({
+      ...options,
+      messages: this.#messages,
+    });
     this.#server = new FleetCallServer({
       handleExchange: (message) => this.#handleExchange(message),
       handleEvidence: (notice) => {
@@ -161,7 +161,7 @@
     if (this.#isStopped) {
       return;
     }
-    const { clock, peers } = this.#options;
+    const { clock, peers, self } = this.#options;
     const nowMs = clock.readMonotonicMs();
     if (nowMs - this.#tickedAtMs > PAUSE_THRESHOLD_MS) {
       // Other VMs have taken over this VM's callers during the pause.
@@ -171,8 +171,10 @@
     this.sendEvidence();
     const isLeader = this.#updateLeadership();
     const partners = this.#choosePartners(isLeader);
-    if (partners.length === 0 && !isLeader) {
-      this.#sendToSeed();
+    if (isLeader) {
+      this.#contacts.pollSilent(this.#zoneLeader === self.incarnation.vm);
+    } else if (partners.length === 0) {
+      this.#contacts.pollSeed();
     }
     const intervalMs = isLeader ? LEADER_INTERVAL_MS : FOLLOWER_INTERVAL_MS;
     for (const vm of partners) {
@@ -321,31 +323,6 @@
     );
   }
 
-  #sendToSeed(): void {
-    const { seeds, clock } = this.#options;
-    const partner = this.#seedPartner;
-    const nowMs = clock.readMonotonicMs();
-    const seed = seeds[this.#seedIndex % Math.max(1, seeds.length)];
-    if (seed === undefined || partner.isCalling || nowMs < partner.nextAtMs) {
-      return;
-    }
-    this.#seedIndex += 1;
-    partner.nextAtMs = nowMs + LEADER_INTERVAL_MS;
-    partner.isCalling = true;
-    void this.#options.client.sendExchange(
-      this.#messages.build(undefined, []),
-      {
-        to: seed,
-        timeoutMs: CALL_TIMEOUT_MS,
-      },
-    ).then((reply) => {
-      partner.isCalling = false;
-      if (reply.ok) {
-        this.#messages.apply(reply.value, nowMs);
-      }
-    });
-  }
-
   #handleExchange(message: SyncMessage): SyncMessage {
     const { peers, state, self } = this.#options;
     // The message may have been queued while this process was paused. Only the
--- a/packages/entry/src/fleet/fleet_peers.ts
+++ b/packages/entry/src/fleet/fleet_peers.ts
@@ -48,6 +48,8 @@
   serversRevision: number;
   /** Number of VMs that it knows, itself included. */
   vmCount: number;
+  /** Digest of its list of VMs; undefined if it has sent none. */
+  vmListDigest: number | undefined;
   /** Its monotonic clock at its last message; undefined without one. */
   clockMs: number | undefined;
   /** True if it has this VM's record. */
@@ -129,6 +131,7 @@
       serversSeen: undefined,
       serversRevision: 0,
       vmCount: 0,
+      vmListDigest: undefined,
       clockMs: undefined,
       hasOwnRecord: false,
       suspicionsSeen: undefined,
@@ -165,6 +168,7 @@
       peer.configurationVersion = message.configurationVersion;
     }
     peer.vmCount = message.vmCount;
+    peer.vmListDigest = message.vmListDigest;
     peer.clockMs = message.clockMs;
     const ownClaim = message.leads.find(({ vm }) => vm === message.from);
     peer.leaderSinceMs = ownClaim?.sinceMs;
--- a/packages/entry/src/fleet/fleet_state.ts
+++ b/packages/entry/src/fleet/fleet_state.ts
@@ -7,6 +7,7 @@
   type LogPosition,
 } from "@limpetford/core/fleet/log_position";
 import { StoreEraTracker } from "@limpetford/core/fleet/store_era_tracker";
+import { computeVmListDigest } from "@limpetford/core/fleet/vm_list_digest";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
 import type { Configuration } from "@limpetford/domain/configuration";
@@ -52,6 +53,7 @@
   #teamByKey = new Map<KeyHash, TeamId>();
   #serversById = new Map<ServerId, AnnouncedServer>();
   #cachedConfiguration: Configuration | undefined;
+  #vmListDigest: number | undefined;
   #areCrashingRequestsKnown = false;
   #configurationFreshAtMs = -Infinity;
   #serversFreshAtMs = -Infinity;
@@ -273,7 +275,7 @@
     if (known !== undefined && known.incarnation.startedAtMs >= startedAtMs) {
       return false;
     }
-    this.#vms.set(id, vm);
+    this.putVm(vm);
     return true;
   }
 
@@ -285,6 +287,7 @@
    */
   putVm(vm: Vm): void {
     this.#vms.set(vm.incarnation.vm, vm);
+    this.#vmListDigest = undefined;
   }
 
   /**
@@ -297,6 +300,16 @@
     return this.#vms.get(id);
   }
 
+  /**
+   * Digest of the list of all known VMs.
+   *
+   * @returns an unsigned integer of 32 bits; equal for equal lists
+   */
+  get vmListDigest(): number {
+    this.#vmListDigest ??= computeVmListDigest(this.listVms());
+    return this.#vmListDigest;
+  }
+
   /**
    * Lists all known VMs, including this one.
    *
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -340,10 +340,7 @@
     }, configurationMs * CONFIGURATION_WAIT_SHARE);
     const vms = new VmsHandler(
       { state, clock },
-      () =>
-        this.#exchange.isIsolated && Number.isFinite(
-          this.#reads.computeMaxAgeShare(CONFIGURATION_AGE_SHARES),
-        ),
+      () => this.#reads.decideVmListReader(),
     );
     const { handler } = this.#crashes;
     return [configuration, this.#servers, vms, handler].map((handler) =>
--- a/packages/entry/src/fleet/store_handlers.ts
+++ b/packages/entry/src/fleet/store_handlers.ts
@@ -34,8 +34,21 @@
 const PASS_ON_MS = 700;
 /** Time between reads of the VM list while no other VM is reachable. */
 const ISOLATED_READ_INTERVAL_MS = 1_000;
-/** Time between checks whether other VMs are still reachable. */
-const ISOLATION_CHECK_INTERVAL_MS = 500;
+/** Time between reads of the VM list by the first reader. */
+const FIRST_READ_INTERVAL_MS = 5_000;
+/** Time between checks whether this VM has to read the VM list. */
+const READER_CHECK_INTERVAL_MS = 500;
+
+/** Part of a VM in reading the VM list. */
+export const VM_LIST_READER = {
+  /** Reads regularly, since VMs may exist that none of the others knows. */
+  first: "first",
+  /** Knows no reachable VM, and looks for one. */
+  isolated: "isolated",
+  none: "none",
+} as const;
+/** One of {@link VM_LIST_READER}. */
+export type VmListReader = typeof VM_LIST_READER[keyof typeof VM_LIST_READER];
 
 /** Dependencies of the handlers. */
 export interface StoreHandlerOptions {
@@ -307,7 +320,7 @@
 }
 
 /**
- * Reads the VM list, but only while no other VM is reachable; otherwise VMs
+ * Reads the VM list at one VM, and at any that reaches no other. The others
  * learn about each other from the messages that they exchange.
  */
 export class VmsHandler extends TopicHandler {
@@ -315,7 +328,7 @@
   override readonly waitMs = 0;
   readonly #state: FleetState;
   readonly #clock: Clock;
-  readonly #isIsolated: () => boolean;
+  readonly #decideReader: () => VmListReader;
   #next: LogPosition | undefined;
   #freshAtMs = -Infinity;
 
@@ -323,16 +336,16 @@
    * Creates a handler that has not read the topic yet.
    *
    * @param options - state that holds the VM list, and the clock
-   * @param isIsolated - checks that no other VM is reachable and a read is due
+   * @param decideReader - decides this VM's present part
    */
   constructor(
     options: { readonly state: FleetState; readonly clock: Clock },
-    isIsolated: () => boolean,
+    decideReader: () => VmListReader,
   ) {
     super();
     this.#state = options.state;
     this.#clock = options.clock;
-    this.#isIsolated = isIsolated;
+    this.#decideReader = decideReader;
   }
 
   override readNextPosition(): LogPosition | undefined {
@@ -340,9 +353,14 @@
   }
 
   override readDueInMs(): number {
-    return this.#isIsolated()
-      ? ISOLATED_READ_INTERVAL_MS - this.#readAgeMs()
-      : ISOLATION_CHECK_INTERVAL_MS;
+    switch (this.#decideReader()) {
+      case VM_LIST_READER.first:
+        return FIRST_READ_INTERVAL_MS - this.#readAgeMs();
+      case VM_LIST_READER.isolated:
+        return ISOLATED_READ_INTERVAL_MS - this.#readAgeMs();
+      case VM_LIST_READER.none:
+        return READER_CHECK_INTERVAL_MS;
+    }
   }
 
   override applySnapshot(
--- a/packages/entry/src/fleet/store_read_schedule.ts
+++ b/packages/entry/src/fleet/store_read_schedule.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "@limpetford/core/time/clock";
 import type { RandomSource } from "@limpetford/core/time/random_source";
 
+import { VM_LIST_READER, type VmListReader } from "./store_handlers.ts";
 import {
   SUSPICION_READER,
   type SuspicionReader,
@@ -120,6 +121,24 @@
       : SUSPICION_READER.none;
   }
 
+  /**
+   * Decides this VM's part in reading the VM list.
+   *
+   * @returns the part; it changes with the VM's rank
+   */
+  decideVmListReader(): VmListReader {
+    const { isSeed, readers } = this.#options;
+    if (this.#readUptimeMs() < SEED_HEAD_START_MS && !isSeed) {
+      return VM_LIST_READER.none;
+    }
+    if (readers.isIsolated()) {
+      return VM_LIST_READER.isolated;
+    }
+    return readers.computeReaderRank() === 0
+      ? VM_LIST_READER.first
+      : VM_LIST_READER.none;
+  }
+
   #readUptimeMs(): number {
     return this.#options.clock.readMonotonicMs() - this.#startedAtMs;
   }
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -58,13 +58,14 @@
    */
   apply(message: SyncMessage, sentAtMs: number): void {
     const { state, peers, balancers, limiter, clock } = this.#options;
+    // Claims count only for VMs that are known.
+    message.vms?.forEach((vm) => state.applyVm(vm));
     peers.applyMessage(message);
     this.#options.suspicions.applyUpdate(
       message.from,
       this.#findPeer(message),
       message.suspicions,
     );
-    message.vms?.forEach((vm) => state.applyVm(vm));
     this.#options.serverLimits.applyRows(
       message.serverLimits ?? [],
       sentAtMs,
@@ -228,11 +229,12 @@
         ageMs: toMessageAge(state.serversAgeMs),
       },
       vmCount: vms.length,
+      vmListDigest: state.vmListDigest,
       suspicions: suspicions.buildUpdate(peer),
       serverLimits: this.#options.serverLimits.listRows(
         peer === undefined ? 0 : nowMs - peer.knownSinceMs,
       ),
-      ...recentPeer !== undefined && recentPeer.vmCount !== vms.length
+      ...recentPeer !== undefined && this.#isVmListOther(recentPeer)
         ? { vms }
         : {},
       ...active !== undefined && recentPeer !== undefined &&
@@ -250,6 +252,14 @@
         : {},
     };
   }
+
+  // VMs of an earlier version send the length of their list alone.
+  #isVmListOther({ vmCount, vmListDigest }: PeerState): boolean {
+    const { state } = this.#options;
+    return vmListDigest === undefined
+      ? vmCount !== state.listVms().length
+      : vmListDigest !== state.vmListDigest;
+  }
 }
 
 /**
--- a/packages/peer/src/fleet_sync.ts
+++ b/packages/peer/src/fleet_sync.ts
@@ -142,6 +142,11 @@
   readonly servers: ServersUpdate;
   /** Number of VMs that the sender knows. */
   readonly vmCount: number;
+  /**
+   * Digest of the list of VMs that the sender knows; absent in messages of VMs
+   * that run an earlier version.
+   */
+  readonly vmListDigest?: number;
   readonly configuration?: FleetConfiguration;
   readonly vms?: readonly Vm[];
   readonly report?: ServingReport;
