fix: servers of another zone are probed by its own VMs, bytes are weighed

Cause: a leader probed each idle server after 0.9 s, whatever its zone, so that of 32 servers up to 35 a second were probed across zones beside 80 requests a second; crossing cost 0.04 whatever the size of the response (400 to 5,000 bytes). Ruled out: overflow of busy zones (a test with six of eight slots taken stayed within 5 % before). Change: another zone's server is probed after 1.5 s, its own zone's after 0.9 s; crossing costs 0.03 a kilobyte of the route's usual response, 0.25 at most. zone_preference_test: two of five cases red before.

--- a/packages/core/src/placement/outcome_recorder.ts
+++ b/packages/core/src/placement/outcome_recorder.ts
@@ -4,6 +4,7 @@
 import { EVIDENCE, type Evidence } from "./gray_failure_estimator.ts";
 import type { GrayShareEstimator } from "./gray_share_estimator.ts";
 import type { TakenSlot } from "./placement_decision.ts";
+import type { RouteSizeEstimator } from "./route_size_estimator.ts";
 import type { ServerEvidence } from "./server_evidence.ts";
 import type { ServiceTimeEstimator } from "./service_time_estimator.ts";
 import type { TrackedServer } from "./tracked_server.ts";
@@ -15,6 +16,7 @@
 export interface OutcomeRecorderOptions {
   readonly serviceTimes: ServiceTimeEstimator;
   readonly grayShares: GrayShareEstimator;
+  readonly sizes: RouteSizeEstimator;
 }
 
 /** Records outcomes, and collects what the other VMs have to hear of them. */
@@ -40,13 +42,14 @@
    */
   record(slot: TakenSlot, sample: AttemptSample, nowMs: number): void {
     const { server, running, demand } = slot;
-    const { serviceTimes } = this.#options;
+    const { serviceTimes, sizes } = this.#options;
     switch (sample.outcome) {
       case "served":
         server.recordAnswered();
         this.#recordEvidence(server, EVIDENCE.success, nowMs);
         server.recordSpeed(sample.totalMs / running.expectedMs, nowMs);
         serviceTimes.recordDuration(demand.route, sample.totalMs);
+        sizes.recordResponse(demand.route, sample.answerBytes);
         break;
       case "failed":
       case "cut":
--- a/packages/core/src/placement/server_choice.ts
+++ b/packages/core/src/placement/server_choice.ts
@@ -12,8 +12,11 @@
 const FINAL_FAILURE_COST = 1;
 /** Cost of a failure after which the request is retried. */
 const RETRYABLE_FAILURE_COST = 0.3;
-/** Cost of traffic to another zone. */
-const OTHER_ZONE_COST = 0.04;
+/** Cost of each kilobyte that a request moves to another zone and back. */
+const OTHER_ZONE_COST_PER_KB = 0.03;
+/** Greatest such cost, so that large responses still leave a failing zone. */
+const MAX_OTHER_ZONE_COST = 0.25;
+const BYTES_PER_KB = 1_000;
 /** Cost of a fully loaded server; scaled by the share of slots in use. */
 const LOAD_COST = 0.06;
 /**
@@ -29,6 +32,11 @@
 const JITTER_COST = 0.01;
 /** Time without an outcome after which an idle server is due for a probe. */
 const PROBE_AFTER_MS = 900;
+/**
+ * The same for a server of another zone, whose own VMs probe it first, if there
+ * are requests in that zone.
+ */
+const OTHER_ZONE_PROBE_AFTER_MS = 1_500;
 /**
  * Failure probability up to which any request may serve as a probe. Above it,
  * only requests that can be retried may.
@@ -51,6 +59,8 @@
   readonly mayProbe: boolean;
   /** True if a retry token is left for a request that is shed. */
   readonly mayRetryShed: boolean;
+  /** Bytes that the request is expected to move, response included. */
+  readonly expectedBytes: number;
   /** True if the request can wait for a server and still meet its target. */
   readonly mayWait: boolean;
 }
@@ -132,11 +142,18 @@
     Math.min(1, slowness * SLOWNESS_COST) +
     loadShare * LOAD_COST +
     (demand.isSuspect ? server.load * SHARED_CRASH_COST : 0) +
-    (server.announced.zone === zone ? 0 : OTHER_ZONE_COST) +
+    (server.announced.zone === zone ? 0 : computeCrossingCost(context)) +
     (server.isWarmingUp(nowMs) ? WARM_UP_COST : 0) +
     context.random.sampleUniform() * JITTER_COST;
 }
 
+function computeCrossingCost({ expectedBytes }: ChoiceContext): number {
+  return Math.min(
+    MAX_OTHER_ZONE_COST,
+    expectedBytes / BYTES_PER_KB * OTHER_ZONE_COST_PER_KB,
+  );
+}
+
 // A server that has shed a request gets one at a time, which can be sent again,
 // until it has answered one; unless no other server is free.
 function listCandidates(
@@ -161,8 +178,11 @@
 ): TrackedServer | undefined {
   let oldest: TrackedServer | undefined;
   for (const server of free) {
+    const afterMs = server.announced.zone === context.zone
+      ? PROBE_AFTER_MS
+      : OTHER_ZONE_PROBE_AFTER_MS;
     const isDue = server.load === 0 &&
-      context.nowMs - server.lastEvidenceAtMs > PROBE_AFTER_MS &&
+      context.nowMs - server.lastEvidenceAtMs > afterMs &&
       server.estimateFailureProbability(context.grayShare, context.nowMs) <=
         maxFailure;
     if (
--- a/packages/core/src/placement/service_placement.ts
+++ b/packages/core/src/placement/service_placement.ts
@@ -15,6 +15,7 @@
 } from "./placement_decision.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
 import { type RetryLimits, RetryTokenBucket } from "./retry_token_bucket.ts";
+import { RouteSizeEstimator } from "./route_size_estimator.ts";
 import {
   computeServerWaitMs,
   listAvailableSoon,
@@ -56,12 +57,14 @@
   readonly #peerLoads = new PeerLoads(this.servers);
   readonly #waiting = new WaitQueue<T>();
   readonly #serviceTimes = new ServiceTimeEstimator();
+  readonly #sizes = new RouteSizeEstimator();
   readonly #retryTokens: RetryTokenBucket;
   readonly #grayShares = new GrayShareEstimator();
   readonly #throughput: ServiceThroughput;
   readonly #outcomes = new OutcomeRecorder({
     serviceTimes: this.#serviceTimes,
     grayShares: this.#grayShares,
+    sizes: this.#sizes,
   });
 
   /**
@@ -342,6 +345,7 @@
       random: this.#options.random,
       mayProbe: this.#retryTokens.hasTokens(PROBE_RESERVE),
       mayRetryShed: this.#retryTokens.hasTokens(PROBE_RESERVE),
+      expectedBytes: this.#sizes.estimateBytes(demand.route),
       mayWait: nowMs + expectedMs < demand.targetAtMs,
     });
     if (server === undefined) {
--- a/packages/standins/src/capacity/fleet_probes.ts
+++ b/packages/standins/src/capacity/fleet_probes.ts
@@ -87,6 +87,7 @@
       random,
       mayProbe: true,
       mayRetryShed: true,
+      expectedBytes: 1_000,
       mayWait: true,
     });
   }, REPEATS);
