fix: sound servers get requests although they failed a while ago

Only idempotent requests probe servers that are likely to fail, and this service has none: servers that lost responses for a while stayed at the service's prior for seconds after they were well, since nobody asked them, while other requests failed. Change: while over 7 % of the requests are not served and more servers than allowed get nothing, a request goes to the neglected server that is likeliest to be well; the zone's own VMs after 1 s, the others after 1.5 s. The share is a setting (minimum_share of the platform).

--- a/packages/core/src/placement/paused_placement_test.ts
+++ b/packages/core/src/placement/paused_placement_test.ts
@@ -63,6 +63,7 @@
   return new ServicePlacement<number>({
     zone: ZONE,
     random: new SeededRandomSource(seed),
+    minimumShare: 0.7,
     retryBounds: { ratio: 0.2, slack: 60 },
     findRateLimit: () => undefined,
   });
--- a/packages/core/src/placement/rate_limited_placement_test.ts
+++ b/packages/core/src/placement/rate_limited_placement_test.ts
@@ -70,6 +70,7 @@
   readonly #placement = new ServicePlacement<number>({
     zone: ZONE,
     random: new SeededRandomSource(1),
+    minimumShare: 0.7,
     retryBounds: { ratio: 0.2, slack: 60 },
     findRateLimit: () => LIMIT_PER_SECOND,
   });
--- a/packages/core/src/placement/service_placement.ts
+++ b/packages/core/src/placement/service_placement.ts
@@ -14,6 +14,7 @@
   WaiterDecision,
 } from "./placement_decision.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
+import { findNeglectedServer } from "./neglected_servers.ts";
 import { type RetryLimits, RetryTokenBucket } from "./retry_token_bucket.ts";
 import { RouteSizeEstimator } from "./route_size_estimator.ts";
 import {
@@ -26,6 +27,7 @@
 import { ServiceThroughput } from "./service_throughput.ts";
 import { ServiceTimeEstimator } from "./service_time_estimator.ts";
 import type { TrackedServer } from "./tracked_server.ts";
+import { UnservedMeter } from "./unserved_meter.ts";
 import { type Waiter, WaitQueue } from "./wait_queue.ts";
 
 /** Retry tokens that probes leave for requests that failed. */
@@ -45,6 +47,8 @@
   readonly zone: ZoneId;
   readonly random: RandomSource;
   readonly retryBounds: RetryLimits;
+  /** Least share of the sound servers that get requests while some fail. */
+  readonly minimumShare: number;
   /** Finds the rate limit that a server names, in requests per second. */
   readonly findRateLimit: (server: AnnouncedServer) => number | undefined;
 }
@@ -61,6 +65,7 @@
   readonly #retryTokens: RetryTokenBucket;
   readonly #grayShares = new GrayShareEstimator();
   readonly #throughput: ServiceThroughput;
+  readonly #unserved = new UnservedMeter();
   readonly #outcomes = new OutcomeRecorder({
     serviceTimes: this.#serviceTimes,
     grayShares: this.#grayShares,
@@ -153,6 +158,7 @@
     const leftMs = endAtMs - nowMs - this.estimateServiceMs(demand);
     if (waitMs > leftMs * WAIT_SHARE) {
       this.#waiting.recordRefused(nowMs);
+      this.#unserved.recordRefused(nowMs);
       return { kind: "overloaded", retryAfterMs: waitMs };
     }
     const waiter = { demand, arrivedAtMs: nowMs, item };
@@ -254,8 +260,10 @@
    * @param nowMs - monotonic time, in milliseconds
    */
   complete(slot: TakenSlot, sample: AttemptSample, nowMs: number): void {
-    slot.server.removeRunning(slot.running);
+    const { server, running, demand } = slot;
+    server.removeRunning(running);
     this.#outcomes.record(slot, sample, nowMs);
+    this.#unserved.recordAttempt(demand, sample.outcome, nowMs);
   }
 
   /**
@@ -338,7 +346,14 @@
   #takeSlot(demand: PlacementDemand, nowMs: number): TakenSlot | undefined {
     this.#peerLoads.expire(nowMs);
     const expectedMs = this.estimateServiceMs(demand);
-    const server = chooseServer(this.listServers(), demand, {
+    const neglected = findNeglectedServer(this.listServers(), demand, {
+      zone: this.#options.zone,
+      minimumShare: this.#options.minimumShare,
+      unservedShare: this.#unserved.readShare(nowMs),
+      grayShare: this.grayShare,
+      nowMs,
+    });
+    const server = neglected ?? chooseServer(this.listServers(), demand, {
       zone: this.#options.zone,
       grayShare: this.grayShare,
       nowMs,
--- a/packages/core/src/placement/service_placement_test.ts
+++ b/packages/core/src/placement/service_placement_test.ts
@@ -74,6 +74,7 @@
   const placement = new ServicePlacement<string>({
     zone: ZONE,
     random: new SeededRandomSource(1),
+    minimumShare: 0.7,
     retryBounds: { ratio: 0.2, slack },
     findRateLimit: () => undefined,
   });
--- a/packages/core/src/placement/team_fairness_test.ts
+++ b/packages/core/src/placement/team_fairness_test.ts
@@ -41,6 +41,7 @@
   readonly #placement = new ServicePlacement<SentRequest>({
     zone: ZONE,
     random: new SeededRandomSource(1),
+    minimumShare: 0.7,
     retryBounds: { ratio: 0.2, slack: 60 },
     findRateLimit: () => undefined,
   });
--- a/packages/core/src/placement/tracked_server.ts
+++ b/packages/core/src/placement/tracked_server.ts
@@ -54,6 +54,7 @@
   #hasNamedPause = false;
   #pausedUntilMs = 0;
   #nextTokenAtMs = 0;
+  #sentAtMs: number;
 
   /**
    * Starts with the prior probabilities of failure and no load.
@@ -67,6 +68,7 @@
     this.#estimator = new GrayFailureEstimator(grayShare, nowMs);
     this.#linkEstimator = new GrayFailureEstimator(LINK_FAILURE_PRIOR, nowMs);
     this.#speedAtMs = nowMs;
+    this.#sentAtMs = nowMs;
     this.#warmedUpAtMs = nowMs + announced.warmUpLeftMs;
   }
 
@@ -101,6 +103,15 @@
     return this.#estimator.lastEvidenceAtMs;
   }
 
+  /**
+   * Monotonic time of the latest request that is known, from any VM.
+   *
+   * @returns milliseconds; the time of creation before the first request
+   */
+  get lastUsedAtMs(): number {
+    return Math.max(this.#sentAtMs, this.lastEvidenceAtMs);
+  }
+
   /**
    * Checks whether an announcement is of the same start of the server.
    *
@@ -162,6 +173,7 @@
    */
   addRunning(request: RunningRequest): void {
     this.#running.add(request);
+    this.#sentAtMs = request.startedAtMs;
   }
 
   /**
--- a/packages/core/src/placement/zone_preference_test.ts
+++ b/packages/core/src/placement/zone_preference_test.ts
@@ -41,6 +41,7 @@
   const placement = new ServicePlacement<string>({
     zone: OWN,
     random: new SeededRandomSource(1),
+    minimumShare: 0.7,
     retryBounds: { ratio: 0.2, slack: 60 },
     findRateLimit: () => undefined,
   });
--- a/packages/entry/src/fakes/exchange_side.ts
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -127,6 +127,7 @@
       clock,
       random: new SeededRandomSource(1),
       zone: this.self.zone,
+      minimumShare: 0.7,
       retryBounds: { ratio: 0.2, slack: 60 },
       findRateLimit: () => undefined,
     });
--- a/packages/entry/src/fleet/fleet_settings.ts
+++ b/packages/entry/src/fleet/fleet_settings.ts
@@ -17,6 +17,7 @@
 import { addressSchema } from "../settings/units.ts";
 
 const MS_PER_S = 1_000;
+const DEFAULT_MINIMUM_SHARE = 0.7;
 const secondsSchema = z.number().nonnegative().transform((seconds) =>
   seconds * MS_PER_S
 );
@@ -46,6 +47,7 @@
     retryBudgetRatio: z.number().nonnegative(),
     retryBudgetSlack: z.number().nonnegative(),
     quotaTolerance: z.number().nonnegative().default(0),
+    minimumShare: z.number().min(0).max(1).default(DEFAULT_MINIMUM_SHARE),
   }),
   logLevel: z.enum(["error", "warn", "info", "debug"]).default("info"),
 });
@@ -79,6 +81,8 @@
   readonly retryBudgetSlack: number;
   /** Requests that a team may make above its limit in any window. */
   readonly quotaTolerance: number;
+  /** Least share of a service's sound servers that get requests, 0 to 1. */
+  readonly minimumShare: number;
   readonly logLevel: "error" | "warn" | "info" | "debug";
 }
 
@@ -127,6 +131,7 @@
     retryBudgetRatio: bounds.retryBudgetRatio,
     retryBudgetSlack: bounds.retryBudgetSlack,
     quotaTolerance: bounds.quotaTolerance,
+    minimumShare: bounds.minimumShare,
     logLevel: rest.logLevel,
   });
 }
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -111,7 +111,7 @@
    */
   constructor(settings: FleetSettings, dependencies: FleetVmDependencies) {
     super();
-    const { clock, random, log } = dependencies;
+    const { clock, random, log, metrics } = dependencies;
     const { self } = settings;
     const notifyChange = (): void => {
       this.#exchange.notifyPartners();
@@ -135,7 +135,6 @@
     const state = new FleetState(clock);
     state.applyVm(self);
     this.#state = state;
-    const { metrics } = dependencies;
     const traffic = new ZoneTraffic({ self, state, metrics });
     this.#calls = new FleetCallClient(traffic);
     this.#peers = new FleetPeers(self, state, clock);
@@ -167,6 +166,7 @@
       clock,
       random,
       zone: self.zone,
+      minimumShare: settings.minimumShare,
       retryBounds: {
         ratio: settings.retryBudgetRatio,
         slack: settings.retryBudgetSlack,
--- a/packages/entry/src/fleet/service_balancers.ts
+++ b/packages/entry/src/fleet/service_balancers.ts
@@ -24,6 +24,8 @@
   readonly zone: ZoneId;
   /** Limits of the extra attempts for each service. */
   readonly retryBounds: RetryLimits;
+  /** Least share of a service's sound servers that get requests, 0 to 1. */
+  readonly minimumShare: number;
   /** Finds the rate limit that a server names, in requests per second. */
   readonly findRateLimit: (server: AnnouncedServer) => number | undefined;
 }
