--- a/packages/core/src/placement/minimum_share_test.ts
+++ b/packages/core/src/placement/minimum_share_test.ts
@@ -144,7 +144,7 @@
         answerBytes: 1_500,
       }, nowMs);
       this.outcomes.push({ server: id, atMs: startedAtMs, isServed });
-      this.#share(zone, nowMs, !isServed);
+      this.#sendEvidence(zone, nowMs, !isServed);
     }
     this.#running = this.#running.filter((run) => !isEnded(run));
   }
@@ -156,7 +156,7 @@
   }
 
   // Failures are told at once, successes with the reports.
-  #share(from: number, nowMs: number, isUrgent: boolean): void {
+  #sendEvidence(from: number, nowMs: number, isUrgent: boolean): void {
     if (!isUrgent) {
       return;
     }
@@ -171,7 +171,7 @@
 
   #report(nowMs: number): void {
     this.#placements.forEach((placement, from) => {
-      this.#share(from, nowMs, true);
+      this.#sendEvidence(from, nowMs, true);
       const loads = new Map<string, number>();
       for (const { announced, ownLoad } of placement.listServers()) {
         if (ownLoad > 0) {
--- a/packages/core/src/placement/service_placement.ts
+++ b/packages/core/src/placement/service_placement.ts
@@ -6,6 +6,7 @@
 import type { AttemptSample } from "../evidence/attempt_sample.ts";
 import type { RandomSource } from "../time/random_source.ts";
 import { GrayShareEstimator } from "./gray_share_estimator.ts";
+import { findNeglectedServer } from "./neglected_servers.ts";
 import { OutcomeRecorder } from "./outcome_recorder.ts";
 import { PeerLoads } from "./peer_loads.ts";
 import type {
@@ -14,7 +15,6 @@
   WaiterDecision,
 } from "./placement_decision.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
-import { findNeglectedServer } from "./neglected_servers.ts";
 import { type RetryLimits, RetryTokenBucket } from "./retry_token_bucket.ts";
 import { RouteSizeEstimator } from "./route_size_estimator.ts";
 import {
--- a/packages/core/src/placement/unserved_meter.ts
+++ b/packages/core/src/placement/unserved_meter.ts
@@ -53,17 +53,17 @@
    * @returns from 0 to 1; 0 while there were too few requests
    */
   readShare(nowMs: number): number {
-    this.#decay(nowMs);
+    this.#expireOld(nowMs);
     return this.#requests < MIN_REQUESTS ? 0 : this.#unserved / this.#requests;
   }
 
   #record(isServed: boolean, nowMs: number): void {
-    this.#decay(nowMs);
+    this.#expireOld(nowMs);
     this.#requests += 1;
     this.#unserved += isServed ? 0 : 1;
   }
 
-  #decay(nowMs: number): void {
+  #expireOld(nowMs: number): void {
     const factor = Math.exp(-(nowMs - this.#updatedAtMs) / WINDOW_MS);
     this.#requests *= factor;
     this.#unserved *= factor;
