fix: leaders of different zones exchange twice a second

Cause: leaders of different zones exchanged four times a second by the clock, though failures, changes and leaving are sent at once anyway. Change: 500 ms between zones, 250 ms within one; a later reader of the store reads the servers once its list is 1.1 s old (0.7 s before), within the 2 s of drain. Kept: isolation after 2 s, loads that expire after 1.5 s, keys (design/platform.md).

--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -23,8 +23,16 @@
 /** Upper limit of the timeout, which grows with the number of suspected VMs. */
 const MAX_CALL_TIMEOUT_MS = 1_000;
 const LEADER_INTERVAL_MS = 250;
-/** After this silence a partner is called even if it is its turn to call. */
-const MAX_PARTNER_SILENCE_MS = 600;
+/**
+ * The same between leaders of different zones, where bytes are dear. Changes and
+ * failures do not wait for it.
+ */
+const OTHER_ZONE_INTERVAL_MS = 500;
+/**
+ * After this multiple of the interval without a message, a partner is called even
+ * if it is its turn to call.
+ */
+const MAX_SILENCE_FACTOR = 2.4;
 const FOLLOWER_INTERVAL_MS = 500;
 const LEADER_TICK_MS = 50;
 const FOLLOWER_TICK_MS = 250;
@@ -177,10 +185,10 @@
     } else if (partners.length === 0) {
       this.#contacts.pollSeed();
     }
-    const intervalMs = isLeader ? LEADER_INTERVAL_MS : FOLLOWER_INTERVAL_MS;
     for (const vm of partners) {
+      const intervalMs = this.#findIntervalMs(vm, isLeader);
       const partner = this.#getPartner(vm.incarnation.vm);
-      if (isLeader && !this.#shouldCall(vm, nowMs)) {
+      if (isLeader && !this.#shouldCall(vm, intervalMs)) {
         continue;
       }
       if (!partner.isCalling && nowMs >= partner.nextAtMs) {
@@ -190,12 +198,22 @@
     }
   }
 
+  #findIntervalMs(vm: Vm, isLeader: boolean): number {
+    if (!isLeader) {
+      return FOLLOWER_INTERVAL_MS;
+    }
+    return vm.zone === this.#options.self.zone
+      ? LEADER_INTERVAL_MS
+      : OTHER_ZONE_INTERVAL_MS;
+  }
+
   // A call updates both sides, so only the leader with the lower identifier
   // calls the other.
-  #shouldCall(vm: Vm, nowMs: number): boolean {
-    const { self, peers } = this.#options;
+  #shouldCall(vm: Vm, intervalMs: number): boolean {
+    const { self, peers, clock } = this.#options;
+    const silentMs = clock.readMonotonicMs() - peers.getPeer(vm).heardAtMs;
     return self.incarnation.vm < vm.incarnation.vm ||
-      nowMs - peers.getPeer(vm).heardAtMs > MAX_PARTNER_SILENCE_MS ||
+      silentMs > intervalMs * MAX_SILENCE_FACTOR ||
       this.#getPartner(vm.incarnation.vm).nextAtMs === 0;
   }
 
--- a/packages/entry/src/fleet/store_read_schedule.ts
+++ b/packages/entry/src/fleet/store_read_schedule.ts
@@ -45,7 +45,7 @@
 /** Shares of the time within which a leaving server gets no new requests. */
 export const SERVERS_AGE_SHARES: AgeShares = {
   first: 0.2,
-  later: 0.35,
+  later: 0.55,
   step: 0.1,
   last: 0.8,
 };
