fix: replies to a VM that starts in another zone are compressed

Cause: a VM that starts calls seeds, mostly in other zones, whose replies carry the configuration, servers and VMs as plain JSON, because the caller cannot know whether the seed reads compressed messages.

--- a/packages/entry/src/fleet/fleet_contacts.ts
+++ b/packages/entry/src/fleet/fleet_contacts.ts
@@ -7,7 +7,10 @@
   type SocketAddress,
   type Vm,
 } from "@limpetford/domain/vm";
-import type { FleetCallClient } from "@limpetford/peer/fleet_calls";
+import {
+  CALL_COMPRESSION,
+  type FleetCallClient,
+} from "@limpetford/peer/fleet_calls";
 
 import type { FleetPeers, PeerState } from "./fleet_peers.ts";
 import type { FleetState } from "./fleet_state.ts";
@@ -143,6 +146,7 @@
     const reply = await client.sendExchange(messages.build(peer, []), {
       to: address,
       timeoutMs: CALL_TIMEOUT_MS,
+      compression: CALL_COMPRESSION.reply,
     });
     if (reply.ok) {
       messages.apply(reply.value, sentAtMs);
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -4,6 +4,8 @@
 import type { VmId } from "@limpetford/domain/ids";
 import type { SocketAddress, Vm } from "@limpetford/domain/vm";
 import {
+  CALL_COMPRESSION,
+  type CallCompression,
   type FleetCallClient,
   FleetCallServer,
 } from "@limpetford/peer/fleet_calls";
@@ -297,7 +299,7 @@
     }, {
       to: vm.peerAddress,
       timeoutMs: CALL_TIMEOUT_MS,
-      isCompressed: this.#shouldCompress(vm),
+      compression: this.#chooseCompression(vm),
     });
   }
 
@@ -312,7 +314,7 @@
     const reply = await this.#options.client.sendExchange(message, {
       to: vm.peerAddress,
       timeoutMs: this.#computeTimeoutMs(),
-      isCompressed: this.#shouldCompress(vm),
+      compression: this.#chooseCompression(vm),
     });
     partner.isCalling = false;
     if (reply.ok) {
@@ -334,10 +336,14 @@
   }
 
   // Within a zone, bytes cost less than the time to compress them.
-  #shouldCompress(vm: Vm): boolean {
+  #chooseCompression(vm: Vm): CallCompression {
     const { peers, self } = this.#options;
-    return vm.zone !== self.zone &&
-      peers.getPeer(vm).codec === MESSAGE_CODEC_VERSION;
+    if (vm.zone === self.zone) {
+      return CALL_COMPRESSION.none;
+    }
+    return peers.getPeer(vm).codec === MESSAGE_CODEC_VERSION
+      ? CALL_COMPRESSION.both
+      : CALL_COMPRESSION.reply;
   }
 
   // If several VMs time out at once, the likely cause is slow calls rather than
--- a/packages/peer/src/fleet_calls.ts
+++ b/packages/peer/src/fleet_calls.ts
@@ -33,6 +33,7 @@
   serverLimit: "/server-limit",
 } as const;
 const ENCODING_HEADER = "content-encoding";
+const ACCEPTED_HEADER = "accept-encoding";
 /** Size of the heads of a request and its response, as estimated. */
 const HEAD_BYTES = 220;
 const STATUS_OK = 200;
@@ -43,12 +44,39 @@
 /** Longer than the client's idle timeout, so that the client closes first. */
 const SERVER_IDLE_TIMEOUT_MS = 15_000;
 
+/** Which messages of a call are compressed. */
+export const CALL_COMPRESSION = {
+  none: "none",
+  /** The reply, if the other VM supports it. */
+  reply: "reply",
+  /** Both; the other VM has to support it. */
+  both: "both",
+} as const;
+/** One of {@link CALL_COMPRESSION}. */
+export type CallCompression =
+  typeof CALL_COMPRESSION[keyof typeof CALL_COMPRESSION];
+
 /** Destination and timeout of a call. */
 export interface FleetCallOptions {
   readonly to: SocketAddress;
   readonly timeoutMs: number;
-  /** True to compress both messages; the other VM has to support it. */
-  readonly isCompressed?: boolean;
+  /** Which messages are compressed; by default none. */
+  readonly compression?: CallCompression;
+}
+
+const COMPRESSION_HEADERS: Readonly<
+  Record<CallCompression, Readonly<Record<string, string>>>
+> = {
+  none: {},
+  reply: { [ACCEPTED_HEADER]: COMPRESSED_ENCODING },
+  both: {
+    [ACCEPTED_HEADER]: COMPRESSED_ENCODING,
+    [ENCODING_HEADER]: COMPRESSED_ENCODING,
+  },
+};
+
+function isCompressed(headers: Readonly<Record<string, unknown>>): boolean {
+  return headers[ENCODING_HEADER] === COMPRESSED_ENCODING;
 }
 
 /** Sends calls to the other VMs. */
@@ -153,16 +181,16 @@
   async #send<Reply>(
     path: string,
     message: unknown,
-    { to, timeoutMs, isCompressed = false }: FleetCallOptions,
+    { to, timeoutMs, compression = CALL_COMPRESSION.none }: FleetCallOptions,
   ): Promise<Result<Reply, PeerError>> {
-    const body = encodeMessage(message, isCompressed);
+    const body = encodeMessage(message, compression === CALL_COMPRESSION.both);
     try {
       // A timeout closes the connection, since the peer may no longer respond.
       const response = await this.#agent.request({
         origin: `http://${formatAddress(to)}`,
         path,
         method: "POST",
-        headers: isCompressed ? { [ENCODING_HEADER]: COMPRESSED_ENCODING } : {},
+        headers: COMPRESSION_HEADERS[compression],
         body,
         signal: AbortSignal.timeout(timeoutMs),
       });
@@ -173,7 +201,7 @@
         HEAD_BYTES + body.length + reply.length,
       );
       return response.statusCode === STATUS_OK
-        ? makeOk(decodeMessage(reply, isCompressed) as Reply)
+        ? makeOk(decodeMessage(reply, isCompressed(response.headers)) as Reply)
         : makeError({
           kind: "peer-refused",
           cause: `status ${response.statusCode}`,
@@ -230,8 +258,6 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const encoding = request.headers[ENCODING_HEADER];
-    const isCompressed = encoding === COMPRESSED_ENCODING;
     const chunks: Buffer[] = [];
     let reply: unknown;
     response.sendDate = false;
@@ -239,7 +265,8 @@
       for await (const chunk of request) {
         chunks.push(chunk as Buffer);
       }
-      const message = decodeMessage(Buffer.concat(chunks), isCompressed);
+      const bytes = Buffer.concat(chunks);
+      const message = decodeMessage(bytes, isCompressed(request.headers));
       reply = this.#selectReply(request.url ?? "", message);
     } catch {
       // The sender aborted, or is not a VM of this fleet.
@@ -250,8 +277,13 @@
       response.writeHead(STATUS_NOT_FOUND).end();
       return;
     }
-    const body = encodeMessage(reply, isCompressed);
-    response.writeHead(STATUS_OK, { "content-length": body.length });
+    const mayCompress =
+      request.headers[ACCEPTED_HEADER] === COMPRESSED_ENCODING;
+    const body = encodeMessage(reply, mayCompress);
+    response.writeHead(STATUS_OK, {
+      "content-length": body.length,
+      ...mayCompress ? { [ENCODING_HEADER]: COMPRESSED_ENCODING } : {},
+    });
     response.end(body);
   }
 
