--- a/packages/core/src/placement/minimum_share_test.ts
+++ b/packages/core/src/placement/minimum_share_test.ts
@@ -77,7 +77,7 @@
       const placement = new ServicePlacement<string>({
         zone,
         random: new SeededRandomSource(seed * ZONES.length + index),
-        retryBounds: { ratio: 0.2, slack: 60 },
+        retryBounds: { ratio: 0.2, slack: 60, windowMs: 10_000 },
         findRateLimit: () => undefined,
         minimumShare: MIN_SHARE,
       });
@@ -225,7 +225,7 @@
     const placement = new ServicePlacement<string>({
       zone: ZONES[0] ?? toId<ZoneId>("a"),
       random: new SeededRandomSource(1),
-      retryBounds: { ratio: 0.2, slack: 60 },
+      retryBounds: { ratio: 0.2, slack: 60, windowMs: 10_000 },
       findRateLimit: () => undefined,
       minimumShare: MIN_SHARE,
     });
--- a/packages/core/src/placement/paused_placement_test.ts
+++ b/packages/core/src/placement/paused_placement_test.ts
@@ -64,7 +64,7 @@
     zone: ZONE,
     random: new SeededRandomSource(seed),
     minimumShare: 0.7,
-    retryBounds: { ratio: 0.2, slack: 60 },
+    retryBounds: { ratio: 0.2, slack: 60, windowMs: 10_000 },
     findRateLimit: () => undefined,
   });
 }
--- a/packages/core/src/placement/retry_token_bucket.ts
+++ b/packages/core/src/placement/retry_token_bucket.ts
@@ -2,8 +2,10 @@
 
 /** Share of the allowed ratio that is used, so that no window exceeds it. */
 const USED_SHARE = 0.85;
-/** Share of the service's slack that the VMs with callers divide. */
-const SLACK_SHARE = 0.66;
+/** Share of the service's slack that can be spent at once. */
+const BURST_SHARE = 0.36;
+/** Share of the service's slack that accrues anew in each window. */
+const REFILL_SHARE = 0.42;
 /**
  * Fewest VMs by which the slack is divided, so that the total stays within it
  * while callers move to another VM.
@@ -20,6 +22,8 @@
   readonly ratio: number;
   /** Extra attempts allowed beyond the ratio in any window. */
   readonly slack: number;
+  /** Length of the window, in milliseconds. */
+  readonly windowMs: number;
 }
 
 /**
@@ -28,9 +32,11 @@
  */
 export class RetryTokenBucket {
   readonly #tokensPerRequest: number;
-  readonly #slack: number;
+  readonly #limits: RetryLimits;
   #capacity = IDLE_CAPACITY;
+  #tokensPerMs = 0;
   #tokens = 0;
+  #refilledAtMs: number | undefined;
   #hasReceivedCallers = false;
 
   /**
@@ -42,7 +48,7 @@
    */
   constructor(bounds: RetryLimits) {
     this.#tokensPerRequest = bounds.ratio * USED_SHARE;
-    this.#slack = bounds.slack * SLACK_SHARE;
+    this.#limits = bounds;
   }
 
   /**
@@ -51,9 +57,10 @@
    * @param count - VMs that receive callers; undefined if this VM does not
    */
   setVmCount(count: number | undefined): void {
-    this.#capacity = count === undefined
-      ? IDLE_CAPACITY
-      : Math.max(1, this.#slack / Math.max(MIN_VM_COUNT, count));
+    const { slack, windowMs } = this.#limits;
+    const share = count === undefined ? 0 : 1 / Math.max(MIN_VM_COUNT, count);
+    this.#capacity = Math.max(IDLE_CAPACITY, slack * BURST_SHARE * share);
+    this.#tokensPerMs = slack * REFILL_SHARE * share / windowMs;
     this.#tokens = Math.min(this.#tokens, this.#capacity);
     if (count !== undefined && !this.#hasReceivedCallers) {
       this.#hasReceivedCallers = true;
@@ -64,12 +71,20 @@
     }
   }
 
+  /**
+   * Adds the tokens that have accrued with time.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   */
+  refill(nowMs: number): void {
+    const sinceMs = nowMs - (this.#refilledAtMs ?? nowMs);
+    this.#refilledAtMs = nowMs;
+    this.#addTokens(sinceMs * this.#tokensPerMs);
+  }
+
   /** Adds tokens for the first attempt of a request. */
   recordRequest(): void {
-    this.#tokens = Math.min(
-      this.#capacity,
-      this.#tokens + this.#tokensPerRequest,
-    );
+    this.#addTokens(this.#tokensPerRequest);
   }
 
   /**
@@ -94,4 +109,8 @@
     this.#tokens -= 1;
     return true;
   }
+
+  #addTokens(count: number): void {
+    this.#tokens = Math.min(this.#capacity, this.#tokens + count);
+  }
 }
--- a/packages/core/src/placement/service_placement.ts
+++ b/packages/core/src/placement/service_placement.ts
@@ -136,6 +136,7 @@
     nowMs: number,
   ): PlacementDecision<T> {
     this.#grayShares.update(this.listServers(), nowMs);
+    this.#retryTokens.refill(nowMs);
     const serverWaitMs = this.#computeServerWaitMs(demand, nowMs);
     if (serverWaitMs === Infinity) {
       return { kind: "no-server" };
@@ -346,18 +347,16 @@
   #takeSlot(demand: PlacementDemand, nowMs: number): TakenSlot | undefined {
     this.#peerLoads.expire(nowMs);
     const expectedMs = this.estimateServiceMs(demand);
+    const { zone, random, minimumShare } = this.#options;
+    const conditions = { zone, grayShare: this.grayShare, nowMs };
     const neglected = findNeglectedServer(this.listServers(), demand, {
-      zone: this.#options.zone,
-      minimumShare: this.#options.minimumShare,
+      ...conditions,
+      minimumShare,
       unservedShare: this.#unserved.readShare(nowMs),
-      grayShare: this.grayShare,
-      nowMs,
     });
     const server = neglected ?? chooseServer(this.listServers(), demand, {
-      zone: this.#options.zone,
-      grayShare: this.grayShare,
-      nowMs,
-      random: this.#options.random,
+      ...conditions,
+      random,
       mayProbe: this.#retryTokens.hasTokens(PROBE_RESERVE),
       mayRetryShed: this.#retryTokens.hasTokens(PROBE_RESERVE),
       expectedBytes: this.#sizes.estimateBytes(demand.route),
--- a/packages/core/src/placement/service_placement_test.ts
+++ b/packages/core/src/placement/service_placement_test.ts
@@ -75,7 +75,7 @@
     zone: ZONE,
     random: new SeededRandomSource(1),
     minimumShare: 0.7,
-    retryBounds: { ratio: 0.2, slack },
+    retryBounds: { ratio: 0.2, slack, windowMs: 10_000 },
     findRateLimit: () => undefined,
   });
   placement.setServers(servers, 0);
--- a/packages/core/src/placement/team_fairness_test.ts
+++ b/packages/core/src/placement/team_fairness_test.ts
@@ -42,7 +42,7 @@
     zone: ZONE,
     random: new SeededRandomSource(1),
     minimumShare: 0.7,
-    retryBounds: { ratio: 0.2, slack: 60 },
+    retryBounds: { ratio: 0.2, slack: 60, windowMs: 10_000 },
     findRateLimit: () => undefined,
   });
   readonly #running: {
--- a/packages/core/src/placement/zone_preference_test.ts
+++ b/packages/core/src/placement/zone_preference_test.ts
@@ -42,7 +42,7 @@
     zone: OWN,
     random: new SeededRandomSource(1),
     minimumShare: 0.7,
-    retryBounds: { ratio: 0.2, slack: 60 },
+    retryBounds: { ratio: 0.2, slack: 60, windowMs: 10_000 },
     findRateLimit: () => undefined,
   });
   placement.setServers(buildServers(), 0);
--- a/packages/entry/src/fakes/exchange_side.ts
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -128,7 +128,7 @@
       random: new SeededRandomSource(1),
       zone: this.self.zone,
       minimumShare: 0.7,
-      retryBounds: { ratio: 0.2, slack: 60 },
+      retryBounds: { ratio: 0.2, slack: 60, windowMs: 10_000 },
       findRateLimit: () => undefined,
     });
     this.limiter = new SharedRateLimiter({
--- a/packages/entry/src/fleet/fleet_settings.ts
+++ b/packages/entry/src/fleet/fleet_settings.ts
@@ -2,6 +2,7 @@
 
 import { readFile } from "node:fs/promises";
 
+import type { RetryLimits } from "@limpetford/core/placement/retry_token_bucket";
 import {
   type RegionId,
   toId,
@@ -18,6 +19,7 @@
 
 const MS_PER_S = 1_000;
 const DEFAULT_MINIMUM_SHARE = 0.7;
+const DEFAULT_RETRY_WINDOW_MS = 10_000;
 const secondsSchema = z.number().nonnegative().transform((seconds) =>
   seconds * MS_PER_S
 );
@@ -46,6 +48,7 @@
     drainSeconds: secondsSchema,
     retryBudgetRatio: z.number().nonnegative(),
     retryBudgetSlack: z.number().nonnegative(),
+    retryBudgetWindowSeconds: secondsSchema.default(DEFAULT_RETRY_WINDOW_MS),
     quotaTolerance: z.number().nonnegative().default(0),
     minimumShare: z.number().min(0).max(1).default(DEFAULT_MINIMUM_SHARE),
   }),
@@ -75,10 +78,8 @@
   readonly configurationMs: number;
   /** Time within which a leaving server stops receiving new requests. */
   readonly drainMs: number;
-  /** Extra attempts allowed for each request. */
-  readonly retryBudgetRatio: number;
-  /** Extra attempts allowed beyond the ratio in any window. */
-  readonly retryBudgetSlack: number;
+  /** Limits of the extra attempts for each service. */
+  readonly retryBounds: RetryLimits;
   /** Requests that a team may make above its limit in any window. */
   readonly quotaTolerance: number;
   /** Least share of a service's sound servers that get requests, 0 to 1. */
@@ -128,8 +129,11 @@
     revocationMs: bounds.revocationSeconds,
     configurationMs: bounds.configurationSeconds,
     drainMs: bounds.drainSeconds,
-    retryBudgetRatio: bounds.retryBudgetRatio,
-    retryBudgetSlack: bounds.retryBudgetSlack,
+    retryBounds: {
+      ratio: bounds.retryBudgetRatio,
+      slack: bounds.retryBudgetSlack,
+      windowMs: bounds.retryBudgetWindowSeconds,
+    },
     quotaTolerance: bounds.quotaTolerance,
     minimumShare: bounds.minimumShare,
     logLevel: rest.logLevel,
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -167,10 +167,7 @@
       random,
       zone: self.zone,
       minimumShare: settings.minimumShare,
-      retryBounds: {
-        ratio: settings.retryBudgetRatio,
-        slack: settings.retryBudgetSlack,
-      },
+      retryBounds: settings.retryBounds,
       findRateLimit: (server) => this.#limits.findRateLimit(server),
     });
     this.#router = new PlacementRouter({
