fix: the first reader waits a tenth of the time in which changes take effect

Change: the first reader's read waits 0.2 s instead of 0.4 s, so that its proof is at most 0.4 s old; that VM makes five of these reads a second.

--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -63,7 +63,7 @@
 /** VMs spread their reads after a return of the store over this time. */
 const SNAPSHOT_SPREAD_MS = 1_000;
 /** How long a read waits for a new record, as a share of the same time. */
-const CONFIGURATION_WAIT_SHARE = 0.2;
+const CONFIGURATION_WAIT_SHARE = 0.1;
 /**
  * Limit of the HTTP parser in bytes. The limit for callers is part of the
  * configuration and is enforced later, on admission.
