fix: a last attempt does not try a server that has just turned requests away

Cause: server_notice_test was red beside load (three requests refused at leaders, two allowed). The choice among neglected servers, new in this change, left out the rule that only a request which can be sent elsewhere tries a server after its pause. Load may still play a part: four runs of that test by itself passed before this. Change: the same rule there, and no second request while the first one runs. neglected_servers_test: one of seven cases red before.

--- a/packages/core/src/placement/neglected_servers.ts
+++ b/packages/core/src/placement/neglected_servers.ts
@@ -60,9 +60,7 @@
   let bestFailure = Infinity;
   for (const server of neglected) {
     const failure = server.estimateFailureProbability(grayShare, nowMs);
-    const mayTake = server.hasFreeSlot() &&
-      !demand.tried.includes(server.announced.id);
-    if (mayTake && failure < bestFailure) {
+    if (mayTake(server, demand, nowMs) && failure < bestFailure) {
       best = server;
       bestFailure = failure;
     }
@@ -70,6 +68,18 @@
   return best;
 }
 
+// A server that has just turned requests away may do so again, so that only a
+// request which can be sent elsewhere tries it.
+function mayTake(
+  server: TrackedServer,
+  { tried, mayRetry }: PlacementDemand,
+  nowMs: number,
+): boolean {
+  return server.hasFreeSlot() && !server.isOnTrial(nowMs) &&
+    (mayRetry || !server.isUnproven(nowMs)) &&
+    !tried.includes(server.announced.id);
+}
+
 function isNeglected(
   server: TrackedServer,
   { zone, nowMs }: NeglectContext,
