feat: a VM notices and logs that it cannot connect to a service's servers

Change: attempts that fail on the way at two servers or more, without an answer from any, raise a suspicion; connects to up to five servers confirm or clear it. Lines servers-suspected, servers-unreachable, servers-reachable, field ownLoad, gauge unreachable_services. Nothing is decided by it yet.

Ruled out: a threshold of failures alone (a service whose servers are down looks the same, and a slow loop too: the probe's timer now lets the loop handle what has arrived first).

--- a/packages/core/src/placement/outcome_recorder.ts
+++ b/packages/core/src/placement/outcome_recorder.ts
@@ -1,6 +1,7 @@
 /** Updates the estimates of a service's servers with the ends of attempts. */
 
 import type { AttemptSample } from "../evidence/attempt_sample.ts";
+import type { ServiceReach } from "../reach/service_reach.ts";
 import { EVIDENCE, type Evidence } from "./gray_failure_estimator.ts";
 import type { GrayShareEstimator } from "./gray_share_estimator.ts";
 import type { TakenSlot } from "./placement_decision.ts";
@@ -17,6 +18,7 @@
   readonly serviceTimes: ServiceTimeEstimator;
   readonly grayShares: GrayShareEstimator;
   readonly sizes: RouteSizeEstimator;
+  readonly reach: ServiceReach;
 }
 
 /** Records outcomes, and collects what the other VMs have to hear of them. */
@@ -42,7 +44,8 @@
    */
   record(slot: TakenSlot, sample: AttemptSample, nowMs: number): void {
     const { server, running, demand } = slot;
-    const { serviceTimes, sizes } = this.#options;
+    const { serviceTimes, sizes, reach } = this.#options;
+    reach.recordAttempt(server.announced.id, sample, nowMs);
     switch (sample.outcome) {
       case "served":
         server.recordAnswered();
--- a/packages/core/src/placement/service_placement.ts
+++ b/packages/core/src/placement/service_placement.ts
@@ -4,6 +4,7 @@
 import type { VmId, ZoneId } from "@limpetford/domain/ids";
 
 import type { AttemptSample } from "../evidence/attempt_sample.ts";
+import { ServiceReach } from "../reach/service_reach.ts";
 import type { RandomSource } from "../time/random_source.ts";
 import { GrayShareEstimator } from "./gray_share_estimator.ts";
 import { findNeglectedServer } from "./neglected_servers.ts";
@@ -58,6 +59,8 @@
   readonly #options: ServicePlacementOptions;
   /** Servers of the service, and their pauses. */
   readonly servers = new ServerTable();
+  /** Whether this VM reaches the servers. */
+  readonly reach = new ServiceReach();
   readonly #peerLoads = new PeerLoads(this.servers);
   readonly #waiting = new WaitQueue<T>();
   readonly #serviceTimes = new ServiceTimeEstimator();
@@ -70,6 +73,7 @@
     serviceTimes: this.#serviceTimes,
     grayShares: this.#grayShares,
     sizes: this.#sizes,
+    reach: this.reach,
   });
 
   /**
@@ -137,7 +141,7 @@
   ): PlacementDecision<T> {
     this.#grayShares.update(this.listServers(), nowMs);
     this.#retryTokens.refill(nowMs);
-    const serverWaitMs = this.#computeServerWaitMs(demand, nowMs);
+    const serverWaitMs = computeServerWaitMs(this.listServers(), demand, nowMs);
     if (serverWaitMs === Infinity) {
       return { kind: "no-server" };
     }
@@ -222,7 +226,8 @@
     const expired = this.#waiting.removeExpired(
       nowMs,
       (demand) =>
-        this.#computeServerWaitMs(demand, nowMs) > MAX_SERVER_WAIT_MS
+        computeServerWaitMs(this.listServers(), demand, nowMs) >
+            MAX_SERVER_WAIT_MS
           ? Infinity
           : this.#serviceTimes.estimateLongMs(demand.route),
     );
@@ -379,10 +384,6 @@
     return { needsToken, server, running, demand };
   }
 
-  #computeServerWaitMs(demand: PlacementDemand, nowMs: number): number {
-    return computeServerWaitMs(this.listServers(), demand, nowMs);
-  }
-
   // At least the time until a server takes requests, if one is expected to.
   #estimateWaitMs(demand: PlacementDemand, nowMs: number): number {
     const ahead = this.#waiting.countAhead(demand, nowMs) + 1;
@@ -391,7 +392,7 @@
       this.estimateServiceMs(demand),
       nowMs,
     );
-    const serverWaitMs = this.#computeServerWaitMs(demand, nowMs);
+    const serverWaitMs = computeServerWaitMs(this.listServers(), demand, nowMs);
     return serverWaitMs === Infinity
       ? ahead / perMs
       : Math.max(ahead / perMs, serverWaitMs);
--- a/packages/core/src/placement/tracked_server.ts
+++ b/packages/core/src/placement/tracked_server.ts
@@ -26,6 +26,11 @@
  */
 const UNPROVEN_MS = 1_000;
 
+/** Multiple of the expected time after which a running request is overdue. */
+const OVERDUE_FACTOR = 1.5;
+/** No request is overdue sooner. */
+const MIN_OVERDUE_MS = 200;
+
 /** An attempt that is running at the server. */
 export interface RunningRequest {
   /** Monotonic time of dispatch, in milliseconds. */
@@ -185,6 +190,22 @@
     this.#running.delete(request);
   }
 
+  /**
+   * Checks whether a request of this VM should have been answered by now.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns true if one runs for longer than expected
+   */
+  hasOverdue(nowMs: number): boolean {
+    for (const { startedAtMs, expectedMs } of this.#running) {
+      const dueMs = Math.max(MIN_OVERDUE_MS, expectedMs * OVERDUE_FACTOR);
+      if (nowMs - startedAtMs > dueMs) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /**
    * Replaces the load that another VM reports.
    *
--- a/packages/entry/src/fleet/connect_probe.ts
+++ b/packages/entry/src/fleet/connect_probe.ts
@@ -36,8 +36,11 @@
   ): Promise<ConnectResult> {
     const socket = net.connect({ host, port });
     return await new Promise((resolve) => {
+      // A loop that was held up handles what has arrived meanwhile first.
       const timer = setTimeout(() => {
-        complete("unanswered");
+        setImmediate(() => {
+          complete("unanswered");
+        });
       }, CONNECT_PROBE_TIMEOUT_MS);
       function complete(result: ConnectResult): void {
         clearTimeout(timer);
--- a/packages/entry/src/fleet/fleet_gauges.ts
+++ b/packages/entry/src/fleet/fleet_gauges.ts
@@ -71,6 +71,11 @@
     "backend servers more likely gray than well",
     () => balancers.countGray(),
   );
+  metrics.addGauge(
+    "unreachable_services",
+    "services to none of whose servers this VM can connect",
+    () => balancers.list().filter(({ reach }) => reach.isUnreachable).length,
+  );
   metrics.addGauge(
     "leaving_servers",
     "backend servers that have announced or said that they leave",
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -2,8 +2,7 @@
 
 import type { Clock } from "@limpetford/core/time/clock";
 import type { RandomSource } from "@limpetford/core/time/random_source";
-import type { ZoneId } from "@limpetford/domain/ids";
-import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
+import { formatAddress } from "@limpetford/domain/vm";
 import { FleetCallClient } from "@limpetford/peer/fleet_calls";
 import { StoreClient } from "@limpetford/platform/store/store_client";
 
@@ -12,8 +11,9 @@
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import { TcpConnectProbe } from "./connect_probe.ts";
 import { CrashProtection } from "./crash_protection.ts";
-import { DirectoryServer, DirectorySource } from "./directory_server.ts";
+import { DirectoryServer } from "./directory_server.ts";
 import { FleetDecisionLog } from "./fleet_decision_log.ts";
+import { FleetDirectory } from "./fleet_directory.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
 import { addFleetGauges } from "./fleet_gauges.ts";
 import type { FleetLog } from "./fleet_log.ts";
@@ -22,6 +22,7 @@
 import { FleetState } from "./fleet_state.ts";
 import { PlacementRouter } from "./placement_router.ts";
 import { ServerRateLimits } from "./server_rate_limits.ts";
+import { ServerReachMonitor } from "./server_reach_monitor.ts";
 import { ServiceBalancers } from "./service_balancers.ts";
 import { SharedRateLimiter } from "./shared_rate_limiter.ts";
 import { StoreEraRecord } from "./store_era_record.ts";
@@ -82,20 +83,21 @@
  * Proxies callers' requests, serves the directory, and keeps its state current
  * from the store and from other VMs.
  */
-export class FleetVm extends DirectorySource {
+export class FleetVm {
   readonly #settings: FleetSettings;
   readonly #dependencies: FleetVmDependencies;
   readonly #state: FleetState;
   readonly #peers: FleetPeers;
   readonly #crashes: CrashProtection;
   readonly #limits: ServerRateLimits;
+  readonly #reach: ServerReachMonitor;
   readonly #balancers: ServiceBalancers;
   readonly #router: PlacementRouter;
   readonly #exchange: FleetExchange;
   readonly #client: StoreClient;
   readonly #calls: FleetCallClient;
   readonly #callerServer: CallerServer;
-  readonly #directory = new DirectoryServer(this);
+  readonly #directory: DirectoryServer;
   readonly #consumers: readonly TopicConsumer[];
   readonly #servers: ServersHandler;
   readonly #storeEra: StoreEraRecord;
@@ -110,7 +112,6 @@
    * @param dependencies - clock, randomness, log and metrics
    */
   constructor(settings: FleetSettings, dependencies: FleetVmDependencies) {
-    super();
     const { clock, random, log, metrics } = dependencies;
     const { self } = settings;
     const notifyChange = (): void => {
@@ -138,8 +139,12 @@
     const traffic = new ZoneTraffic({ self, state, metrics });
     this.#calls = new FleetCallClient(traffic);
     this.#peers = new FleetPeers(self, state, clock);
+    const probe = new TcpConnectProbe();
+    this.#directory = new DirectoryServer(
+      new FleetDirectory({ self, state, peers: this.#peers }),
+    );
     this.#crashes = new CrashProtection({
-      probe: new TcpConnectProbe(),
+      probe,
       client: this.#client,
       clock,
       log,
@@ -170,6 +175,14 @@
       retryBounds: settings.retryBounds,
       findRateLimit: (server) => this.#limits.findRateLimit(server),
     });
+    this.#reach = new ServerReachMonitor({
+      balancers: this.#balancers,
+      probe,
+      clock,
+      random,
+      log,
+      handleChange: notifyChange,
+    });
     this.#router = new PlacementRouter({
       balancers: this.#balancers,
       state,
@@ -178,6 +191,7 @@
       guard: this.#crashes.guard,
       limits: this.#limits,
       traffic,
+      reach: this.#reach,
       notifyChange,
     });
     const limiter = new SharedRateLimiter({
@@ -296,6 +310,7 @@
   /** Stops immediately and aborts in-flight requests. */
   async stop(): Promise<void> {
     this.#registration.stop();
+    this.#reach.stop();
     clearInterval(this.#timer);
     this.#exchange.stop();
     for (const consumer of this.#consumers) {
@@ -307,24 +322,6 @@
     await this.#client.close();
   }
 
-  override listAddresses(zone: ZoneId): readonly SocketAddress[] {
-    const leaders = this.#peers.listLeaders();
-    const zoneLeaders = leaders.filter((vm) => vm.zone === zone);
-    const regionLeaders = leaders.filter((vm) =>
-      vm.region === this.#settings.self.region
-    );
-    // Without a leader in the callers' zone, one leader of this VM's region
-    // serves them, or else any leader.
-    const chosen = zoneLeaders.length > 0
-      ? zoneLeaders
-      : [regionLeaders[0] ?? leaders[0]];
-    return chosen.flatMap((vm) => vm?.callerAddress ?? []);
-  }
-
-  override isReady(): boolean {
-    return this.#state.mayServe() && !this.#peers.isLeaving;
-  }
-
   #buildConsumers(): readonly TopicConsumer[] {
     const { clock, log } = this.#dependencies;
     const state = this.#state;
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -175,6 +175,7 @@
       server: "text",
       failureProbability: "number",
       load: "number",
+      ownLoad: "number",
       slots: "number",
       serversAgeMs: "number",
       waitedMs: "number",
@@ -190,6 +191,28 @@
       totalMs: "number",
     },
   },
+  "servers-suspected": {
+    level: "info",
+    meaning:
+      "attempts at several servers of a service failed on the way without an answer from any; connects showed whether the links of this VM are at fault",
+    fields: {
+      service: "text",
+      silentMs: "number",
+      accepted: "number",
+      refused: "number",
+      unanswered: "number",
+    },
+  },
+  "servers-unreachable": {
+    level: "warn",
+    meaning: "this VM can connect to no server of a service",
+    fields: { service: "text", silentMs: "number" },
+  },
+  "servers-reachable": {
+    level: "info",
+    meaning: "this VM can connect to servers of a service again",
+    fields: { service: "text", lostMs: "number" },
+  },
   "attempt-broken": {
     level: "warn",
     meaning:
--- a/packages/entry/src/fleet/placement_log.ts
+++ b/packages/entry/src/fleet/placement_log.ts
@@ -94,6 +94,7 @@
         server.estimateFailureProbability(grayShare, nowMs).toFixed(3),
       ),
       load: server.load,
+      ownLoad: server.ownLoad,
       slots: server.announced.slots,
       serversAgeMs: Math.round(state.serversAgeMs),
       waitedMs: Math.round(nowMs - askedAtMs),
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -21,6 +21,7 @@
 import { PlacementLog } from "./placement_log.ts";
 import { ServerNotices } from "./server_notices.ts";
 import type { ServerRateLimits } from "./server_rate_limits.ts";
+import type { ServerReachMonitor } from "./server_reach_monitor.ts";
 import type {
   Balancer,
   PendingPlacement,
@@ -47,6 +48,7 @@
   readonly guard: CrashGuard;
   readonly limits: ServerRateLimits;
   readonly traffic: ZoneTraffic;
+  readonly reach: ServerReachMonitor;
   /** Called when there is something to tell the other VMs. */
   readonly notifyChange: () => void;
 }
@@ -243,6 +245,7 @@
     pending: PendingPlacement,
     granted: GrantedSlot,
   ): void {
+    this.#options.reach.schedule();
     this.#log.recordPlaced({
       request: pending.request,
       askedAtMs: pending.askedAtMs,
--- /dev/null
+++ b/packages/entry/src/fleet/server_reach_monitor.ts
@@ -0,0 +1,187 @@
+/** Finds out whether this VM still reaches the backend servers. */
+
+import type { TrackedServer } from "@limpetford/core/placement/tracked_server";
+import type { ServiceReach } from "@limpetford/core/reach/service_reach";
+import type { Clock } from "@limpetford/core/time/clock";
+import type { RandomSource } from "@limpetford/core/time/random_source";
+import type { ServiceId } from "@limpetford/domain/ids";
+import { SERVER_STATE } from "@limpetford/domain/service";
+
+import type { ConnectProbe, ConnectResult } from "./connect_probe.ts";
+import type { FleetLog } from "./fleet_log.ts";
+import type { Balancer, ServiceBalancers } from "./service_balancers.ts";
+
+const CHECK_INTERVAL_MS = 50;
+/** Servers of a service that one round connects to. */
+const SERVERS_PER_ROUND = 5;
+/** Services that a check of all of them connects to at once. */
+const MAX_VERIFIED_SERVICES = 20;
+
+/** Dependencies of a {@link ServerReachMonitor}. */
+export interface ServerReachMonitorOptions {
+  readonly balancers: ServiceBalancers;
+  readonly probe: ConnectProbe;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: FleetLog;
+  /** Called when the servers of a service became unreachable or reachable. */
+  readonly handleChange: () => void;
+}
+
+/**
+ * Connects to some servers of a service when attempts at several of them fail
+ * without an answer, and goes on until servers accept connections again.
+ */
+export class ServerReachMonitor {
+  readonly #options: ServerReachMonitorOptions;
+  #timer: NodeJS.Timeout | undefined;
+  #isStopped = false;
+
+  /**
+   * Creates a monitor that checks nothing yet.
+   *
+   * @param options - balancers, probe, clock and log
+   */
+  constructor(options: ServerReachMonitorOptions) {
+    this.#options = options;
+  }
+
+  /** Starts to check, until no attempt is running and all is reachable. */
+  schedule(): void {
+    if (this.#timer !== undefined || this.#isStopped) {
+      return;
+    }
+    this.#timer = setTimeout(() => {
+      this.#timer = undefined;
+      if (this.#checkAll()) {
+        this.schedule();
+      }
+    }, CHECK_INTERVAL_MS);
+  }
+
+  /** Ends all checks. */
+  stop(): void {
+    this.#isStopped = true;
+    clearTimeout(this.#timer);
+  }
+
+  /**
+   * Connects to servers of all services, whatever is known of them.
+   *
+   * @returns resolves once the results are known
+   */
+  async verify(): Promise<void> {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    const services = this.#options.balancers.listByService()
+      .slice(0, MAX_VERIFIED_SERVICES);
+    await Promise.all(services.map(async ([service, balancer]) => {
+      balancer.reach.beginRound(nowMs);
+      await this.#runRound(service, balancer);
+    }));
+  }
+
+  #checkAll(): boolean {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    let isNeeded = false;
+    for (const [service, balancer] of this.#options.balancers.listByService()) {
+      const { reach } = balancer;
+      const servers = listActive(balancer);
+      const overdue = servers.filter((server) => server.hasOverdue(nowMs))
+        .map(({ announced }) => announced.id);
+      reach.recordOverdue(overdue, nowMs);
+      if (reach.shouldProbe(servers.length, nowMs)) {
+        reach.beginRound(nowMs);
+        void this.#runRound(service, balancer);
+      }
+      isNeeded ||= reach.isUnreachable || reach.isInDoubt ||
+        servers.some(({ ownLoad }) => ownLoad > 0);
+    }
+    return isNeeded;
+  }
+
+  async #runRound(service: ServiceId, balancer: Balancer): Promise<void> {
+    const { probe, clock, log } = this.#options;
+    const { reach } = balancer;
+    const startedAtMs = clock.readMonotonicMs();
+    const silentMs = Math.round(
+      Math.min(startedAtMs - reach.reachedAtMs, startedAtMs),
+    );
+    const results = await Promise.all(
+      this.#pickServers(balancer).map(({ announced }) =>
+        probe.probe(announced.address)
+      ),
+    );
+    const accepted = countResults(results, "accepted");
+    if (!reach.isUnreachable) {
+      log.record("servers-suspected", {
+        service,
+        silentMs,
+        accepted,
+        refused: countResults(results, "refused"),
+        unanswered: countResults(results, "unanswered"),
+      });
+    }
+    const { lostAtMs } = reach;
+    const nowMs = clock.readMonotonicMs();
+    const change = reach.recordRound({
+      accepted,
+      failed: results.length - accepted,
+    }, nowMs);
+    this.#reportChange(service, change, {
+      silentMs,
+      lostMs: Math.round(nowMs - (lostAtMs ?? nowMs)),
+    });
+  }
+
+  #reportChange(
+    service: ServiceId,
+    change: ReturnType<ServiceReach["recordRound"]>,
+    times: { readonly silentMs: number; readonly lostMs: number },
+  ): void {
+    const { log, handleChange } = this.#options;
+    switch (change) {
+      case "lost":
+        log.record("servers-unreachable", {
+          service,
+          silentMs: times.silentMs,
+        });
+        this.schedule();
+        handleChange();
+        break;
+      case "regained":
+        log.record("servers-reachable", { service, lostMs: times.lostMs });
+        handleChange();
+        break;
+      case "none":
+        break;
+    }
+  }
+
+  // Servers that raised the suspicion come last: they may be down.
+  #pickServers(balancer: Balancer): readonly TrackedServer[] {
+    const { random } = this.#options;
+    const { reach } = balancer;
+    return listActive(balancer)
+      .map((server) => ({
+        server,
+        rank: random.sampleUniform() +
+          Number(reach.isSuspected(server.announced.id)),
+      }))
+      .sort((a, b) => a.rank - b.rank)
+      .slice(0, SERVERS_PER_ROUND)
+      .map(({ server }) => server);
+  }
+}
+
+function listActive(balancer: Balancer): readonly TrackedServer[] {
+  return balancer.listServers().filter(({ announced }) =>
+    announced.state === SERVER_STATE.active
+  );
+}
+
+function countResults(
+  results: readonly ConnectResult[],
+  result: ConnectResult,
+): number {
+  return results.filter((other) => other === result).length;
+}
--- a/packages/entry/src/fleet/service_balancers.ts
+++ b/packages/entry/src/fleet/service_balancers.ts
@@ -72,6 +72,15 @@
     return [...this.#services.values()];
   }
 
+  /**
+   * Lists the balancers with the identifiers of their services.
+   *
+   * @returns one pair for each configured service
+   */
+  listByService(): readonly (readonly [ServiceId, Balancer])[] {
+    return [...this.#services];
+  }
+
   /**
    * Finds the balancer of a service.
    *
