test: callers of VMs that cannot reach the backend servers (failing)

The faults are injected in each VM's process by a file that Node loads before the program, since the servers can't tell the VMs of one machine apart.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -27,7 +27,9 @@
 
 export default tseslint.config(
   {
-    ignores: ["**/dist/**", "**/generated/**", "**/node_modules/**", "out/**"],
+    ignores: ["**/dist/**", "**/generated/**", "**/node_modules/**", "out/**",
+      // Loaded by Node itself, so it is not TypeScript.
+      "**/*_preload.cjs"],
   },
   js.configs.recommended,
   ...tseslint.configs.strictTypeChecked,
--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -22,7 +22,7 @@
 import { ServerStandin } from "../platform/server_standin.ts";
 import { type StoreCopy, StoreStandin } from "../platform/store_standin.ts";
 import { TcpFaultProxy } from "../platform/tcp_fault_proxy.ts";
-import { VmProcessHandle } from "./vm_process_handle.ts";
+import { type ServerLinkFault, VmProcessHandle } from "./vm_process_handle.ts";
 
 const CALLER_PORT = 18_001;
 const READY_PORT = 18_002;
@@ -251,6 +251,32 @@
     zone: string,
   ): Promise<VmProcessHandle | undefined> {
     const [address] = await this.resolveAddresses(directoryVm, zone);
+    return this.findVm(address);
+  }
+
+  /**
+   * Sets the fault of the links from some VMs to all backend servers.
+   *
+   * @param vms - VMs that lose the servers; the others still reach them
+   * @param fault - fault to inject; `none` restores the links
+   */
+  setServerLinkFault(
+    vms: readonly VmProcessHandle[],
+    fault: ServerLinkFault,
+  ): void {
+    const ports = this.#serverAddresses.map(({ port }) => port);
+    for (const vm of vms) {
+      vm.setServerLinkFault(fault, ports);
+    }
+  }
+
+  /**
+   * Finds the VM that callers reach at an address.
+   *
+   * @param address - caller address, as a directory returns it
+   * @returns the VM; undefined if there is none
+   */
+  findVm(address: string | undefined): VmProcessHandle | undefined {
     return this.vms.find(({ host }) => `${host}:${CALLER_PORT}` === address);
   }
 
--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -1,6 +1,7 @@
 /** Starts and signals the process of one VM of a fleet under test. */
 
 import { type ChildProcess, spawn } from "node:child_process";
+import * as path from "node:path";
 
 import type { SocketAddress } from "@limpetford/domain/vm";
 
@@ -12,6 +13,22 @@
   process.env["JEST_WORKER_ID"] ?? "0"
 }`;
 
+/** Faults of the links from one VM to backend servers. */
+export const SERVER_LINK_FAULT = {
+  none: "none",
+  /** Connections stay open and bring nothing; new ones get no answer. */
+  silent: "silent",
+  /** Connections are reset, new ones refused. */
+  refused: "refused",
+  /** Open connections live on, new ones are refused. */
+  newRefused: "new-refused",
+} as const;
+/** One of the faults in `SERVER_LINK_FAULT`. */
+export type ServerLinkFault =
+  typeof SERVER_LINK_FAULT[keyof typeof SERVER_LINK_FAULT];
+
+const PRELOAD_PATH = "packages/standins/src/fleet/link_fault_preload.cjs";
+
 /** Identity, addresses and settings file of a VM's process. */
 export interface VmProcessOptions {
   readonly id: string;
@@ -64,16 +81,21 @@
   /** Starts the process and collects its output in `log`. */
   start(): void {
     const child = spawn(process.execPath, [
+      "--require",
+      path.resolve(PRELOAD_PATH),
       `${BUNDLE_DIRECTORY}/limpetford.js`,
       "fleet",
       "--settings",
       this.settingsPath,
-    ], { stdio: ["ignore", "pipe", "pipe"] });
+    ], { stdio: ["ignore", "pipe", "pipe", "ipc"] });
     const collect = (chunk: Buffer): void => {
       this.log += chunk.toString("utf8");
     };
-    child.stdout.on("data", collect);
-    child.stderr.on("data", collect);
+    child.stdout?.on("data", collect);
+    child.stderr?.on("data", collect);
+    // The process may end while a message to it is on its way.
+    child.on("error", () => undefined);
+    child.channel?.unref();
     this.#child = child;
   }
 
@@ -86,6 +108,18 @@
     this.#child?.kill(signal);
   }
 
+  /**
+   * Sets the fault of this VM's links to backend servers.
+   *
+   * @param fault - fault to inject; `none` restores the links
+   * @param ports - ports of the servers that are concerned
+   */
+  setServerLinkFault(fault: ServerLinkFault, ports: readonly number[]): void {
+    if (this.#child?.connected === true) {
+      this.#child.send({ fault, ports });
+    }
+  }
+
   /**
    * Waits until the process exits.
    *
