fix: failures of a VM's own links are not held against the servers

Cause: a failure on the way was told to the others as a failure of the server, and what hangs on a dead link kept a slot in everybody's count.

Change: while several servers fail on the way without an answer from any, such failures count for the link alone; loads at servers that can't be reached are not reported; a server that refuses connections has crashed only if another accepts one.

Ruled out: to ignore failures on the way altogether; a server that alone resets its connections is gray, and the others have to know.

--- a/packages/core/src/placement/outcome_recorder.ts
+++ b/packages/core/src/placement/outcome_recorder.ts
@@ -99,8 +99,12 @@
     });
   }
 
+  // The server is not to blame, here or elsewhere, for links of this VM that may
+  // have failed to all servers.
   #recordLinkFailure(server: TrackedServer, nowMs: number): void {
     server.recordLinkFailure(nowMs);
-    this.#recordEvidence(server, EVIDENCE.failure, nowMs);
+    if (!this.#options.reach.isInDoubt) {
+      this.#recordEvidence(server, EVIDENCE.failure, nowMs);
+    }
   }
 }
--- a/packages/entry/src/fakes/exchange_side.ts
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -108,6 +108,7 @@
       client: new StoreClient({ host: "127.0.0.1", port: 1 }),
       clock,
       log,
+      verifyLinks: () => Promise.resolve(true),
       readReader: () => SUSPICION_READER.none,
       notifyNews: () => undefined,
       handleInformed: () => undefined,
--- a/packages/entry/src/fleet/crash_guard.ts
+++ b/packages/entry/src/fleet/crash_guard.ts
@@ -7,6 +7,7 @@
 } from "@limpetford/core/quarantine/suspicion";
 import type { SuspicionRegistry } from "@limpetford/core/quarantine/suspicion_registry";
 import type { Clock } from "@limpetford/core/time/clock";
+import type { ServerId } from "@limpetford/domain/ids";
 
 import type {
   PlacementRequest,
@@ -38,6 +39,8 @@
   readonly probe: ConnectProbe;
   readonly clock: Clock;
   readonly log: FleetLog;
+  /** Finds out whether this VM reaches other servers, if one refuses it. */
+  readonly verifyLinks: (server: ServerId) => Promise<boolean>;
   /** Called after each crash of a server that this VM has noticed. */
   readonly handleCrash: (crash: ServerCrash) => void;
 }
@@ -70,6 +73,7 @@
       probe: options.probe,
       clock: options.clock,
       log: options.log,
+      verifyLinks: options.verifyLinks,
       handleCrash: (crash) => {
         this.#recordCrash(crash);
       },
--- a/packages/entry/src/fleet/crash_guard_test.ts
+++ b/packages/entry/src/fleet/crash_guard_test.ts
@@ -55,6 +55,7 @@
       probe,
       clock,
       log: new FleetLog({ clock, level: "error", vm: "vm-1" }),
+      verifyLinks: () => Promise.resolve(true),
       handleCrash: () => undefined,
     });
   });
--- a/packages/entry/src/fleet/crash_observer.ts
+++ b/packages/entry/src/fleet/crash_observer.ts
@@ -48,6 +48,8 @@
   readonly probe: ConnectProbe;
   readonly clock: Clock;
   readonly log: FleetLog;
+  /** Finds out whether this VM reaches other servers, if one refuses it. */
+  readonly verifyLinks: (server: ServerId) => Promise<boolean>;
   /** Called for each crash. */
   readonly handleCrash: (crash: ServerCrash) => void;
 }
@@ -71,7 +73,7 @@
  * Collects attempts without a response. When a connection breaks, it probes the
  * server: one that refuses connections has crashed, and the attempts that ended
  * there shortly before may be the cause. One that accepts them only lost a
- * connection.
+ * connection. If all servers refuse this VM, its links are at fault.
  */
 export class CrashObserver {
   readonly #options: CrashObserverOptions;
@@ -151,13 +153,15 @@
 
   async #probe(server: ProbedServer): Promise<void> {
     const probedAtMs = this.#options.clock.readMonotonicMs();
-    const result = await this.#options.probe.probe(server.address);
+    const { probe, verifyLinks } = this.#options;
+    const result = await probe.probe(server.address);
+    const hasCrashed = result === "refused" && await verifyLinks(server.id);
     this.#probes.delete(server.id);
     const nowMs = this.#options.clock.readMonotonicMs();
     const attempts = this.#listRecent(server.id, nowMs);
     this.#recent.delete(server.id);
     this.#recordBroken(server.id, attempts, result);
-    if (result === "refused") {
+    if (hasCrashed) {
       this.#reportCrash({ server: server.id, attempts });
     } else {
       // A connection that broke after the probe was sent shows nothing of it.
--- a/packages/entry/src/fleet/crash_observer_test.ts
+++ b/packages/entry/src/fleet/crash_observer_test.ts
@@ -33,6 +33,7 @@
   readonly crashes: ServerCrash[] = [];
   readonly probe: FakeConnectProbe;
   readonly observer: CrashObserver;
+  areLinksSound = true;
 
   constructor(results: ConnectResult[]) {
     this.probe = new FakeConnectProbe(results);
@@ -40,6 +41,7 @@
       probe: this.probe,
       clock: this.clock,
       log: new FleetLog({ clock: this.clock, level: "error", vm: "vm-1" }),
+      verifyLinks: () => Promise.resolve(this.areLinksSound),
       handleCrash: (crash) => this.crashes.push(crash),
     });
   }
@@ -130,4 +132,14 @@
     expect(harness.probe.probeCount).toBe(1);
     expect(harness.listSuspects()).toEqual([["a", "b", "c"]]);
   });
+
+  it("blames no request while all servers refuse this VM", async () => {
+    const harness = new Harness(["refused", "refused"]);
+    harness.areLinksSound = false;
+    await harness.observe("a", "reset-before-first-byte");
+    expect(harness.crashes).toEqual([]);
+    harness.areLinksSound = true;
+    await harness.observe("b", "reset-before-first-byte");
+    expect(harness.listSuspects()).toEqual([["b"]]);
+  });
 });
--- a/packages/entry/src/fleet/crash_protection.ts
+++ b/packages/entry/src/fleet/crash_protection.ts
@@ -3,6 +3,7 @@
 import { SUSPICION_STATUS } from "@limpetford/core/quarantine/suspicion";
 import { SuspicionRegistry } from "@limpetford/core/quarantine/suspicion_registry";
 import type { Clock } from "@limpetford/core/time/clock";
+import type { ServerId } from "@limpetford/domain/ids";
 import type { StoreClient } from "@limpetford/platform/store/store_client";
 
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
@@ -26,6 +27,8 @@
 /** Dependencies of a {@link CrashProtection}. */
 export interface CrashProtectionOptions {
   readonly probe: ConnectProbe;
+  /** Finds out whether this VM reaches other servers, if one refuses it. */
+  readonly verifyLinks: (server: ServerId) => Promise<boolean>;
   readonly client: StoreClient;
   readonly clock: Clock;
   readonly log: FleetLog;
@@ -76,6 +79,7 @@
       probe,
       clock,
       log,
+      verifyLinks: options.verifyLinks,
       handleCrash: (crash) => {
         this.#handleCrash(crash);
       },
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -145,6 +145,7 @@
     );
     this.#crashes = new CrashProtection({
       probe,
+      verifyLinks: (server) => this.#reach.verifyLinks(server),
       client: this.#client,
       clock,
       log,
--- a/packages/entry/src/fleet/server_reach_monitor.ts
+++ b/packages/entry/src/fleet/server_reach_monitor.ts
@@ -4,7 +4,7 @@
 import type { ServiceReach } from "@limpetford/core/reach/service_reach";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { RandomSource } from "@limpetford/core/time/random_source";
-import type { ServiceId } from "@limpetford/domain/ids";
+import type { ServerId, ServiceId } from "@limpetford/domain/ids";
 import { SERVER_STATE } from "@limpetford/domain/service";
 
 import type { ConnectProbe, ConnectResult } from "./connect_probe.ts";
@@ -65,6 +65,26 @@
     clearTimeout(this.#timer);
   }
 
+  /**
+   * Finds out whether the links of this VM are sound, after one to a server
+   * failed.
+   *
+   * @param server - the server
+   * @returns false if no server of its service can be reached
+   */
+  async verifyLinks(server: ServerId): Promise<boolean> {
+    const { balancers } = this.#options;
+    const service = balancers.findServiceOf(server);
+    const balancer = service && balancers.findService(service);
+    if (service === undefined || balancer === undefined) {
+      return true;
+    }
+    if (balancer.reach.isInDoubt && !balancer.reach.isUnreachable) {
+      await this.#runRound(service, balancer);
+    }
+    return !balancer.reach.isUnreachable;
+  }
+
   /**
    * Connects to servers of all services, whatever is known of them.
    *
--- a/packages/entry/src/fleet/service_balancers.ts
+++ b/packages/entry/src/fleet/service_balancers.ts
@@ -6,7 +6,7 @@
 import type { Clock } from "@limpetford/core/time/clock";
 import type { RandomSource } from "@limpetford/core/time/random_source";
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import type { ServiceId, VmId, ZoneId } from "@limpetford/domain/ids";
+import type { ServerId, ServiceId, VmId, ZoneId } from "@limpetford/domain/ids";
 
 import type {
   PlacementRequest,
@@ -91,6 +91,16 @@
     return this.#services.get(service);
   }
 
+  /**
+   * Finds the service of a backend server.
+   *
+   * @param server - identifier of the server
+   * @returns the service; undefined if the server is not known
+   */
+  findServiceOf(server: ServerId): ServiceId | undefined {
+    return this.#serviceByServer.get(server);
+  }
+
   /**
    * Finds the balancer of the service that an attempt is routed to.
    *
@@ -157,12 +167,14 @@
   }
 
   /**
-   * Lists this VM's in-flight requests at each backend server.
+   * Lists this VM's in-flight requests at each backend server. Those on the way to
+   * servers that it cannot reach keep no slots there.
    *
    * @returns server identifiers and counts, without servers that have none
    */
   listLoads(): readonly (readonly [string, number])[] {
-    return [...this.#services.values()].flatMap((service) =>
+    const reachable = this.list().filter(({ reach }) => !reach.isUnreachable);
+    return reachable.flatMap((service) =>
       service.listServers().flatMap((server) =>
         server.ownLoad === 0
           ? []
