fix: VMs without links to the servers lead no callers while others have theirs

Cause: leaders and directory were chosen by configuration, leaving and answers of other VMs, never by whether servers are reached.

Change: a VM that can connect to no server of a service tells the others at once; in its zone those VMs come first as leaders that have lately reached servers, after a check of their own links if they have no callers; a directory names leaders of other zones while all of its zone have lost services. Where no VM is known to reach them, the servers are at fault and nothing moves. VMs exchange reports only while one has lost a service. The choice of leaders and the server for callers got files of their own.

Ruled out: a VM that returns takes its callers back (flapping; it stays a follower); an unknown VM before a cut one (while all servers are down the lead would wander).

--- a/packages/core/src/fleet/leader_selection.ts
+++ b/packages/core/src/fleet/leader_selection.ts
@@ -5,6 +5,7 @@
 
 import type { VmId, ZoneId } from "@limpetford/domain/ids";
 
+import { REACH, type Reach } from "../reach/vm_reach_table.ts";
 import { hashRendezvous } from "./rendezvous_hash.ts";
 
 /** A VM that can be chosen as a leader, as the choosing VM knows it. */
@@ -15,12 +16,16 @@
   readonly isAvailable: boolean;
   /** Wall-clock time since which it is a leader; undefined if it is none. */
   readonly leaderSinceMs: number | undefined;
+  /** Whether it reaches the backend servers. */
+  readonly reach: Reach;
   /** Processor cores, also fractions of one; larger VMs are preferred. */
   readonly cores: number;
 }
 
 /**
- * Sorts a zone's available VMs by their preference as leaders.
+ * Sorts a zone's available VMs by their preference as leaders. While one of them
+ * has lost its links to backend servers, those come first that are known to have
+ * theirs; if none is, the fault is likely the servers', and the order stays.
  *
  * @param zone - availability zone whose VMs are considered
  * @param candidates - all known VMs, of any zone
@@ -30,9 +35,15 @@
   zone: ZoneId,
   candidates: readonly LeaderCandidate[],
 ): readonly LeaderCandidate[] {
-  return candidates.filter((candidate) =>
+  const sorted = candidates.filter((candidate) =>
     candidate.zone === zone && candidate.isAvailable
   ).sort(compareCandidates);
+  return sorted.some(({ reach }) => reach === REACH.lost)
+    ? [
+      ...sorted.filter(mayServeCallers),
+      ...sorted.filter((candidate) => !mayServeCallers(candidate)),
+    ]
+    : sorted;
 }
 
 /**
@@ -48,16 +59,14 @@
   zone: ZoneId,
   candidates: readonly LeaderCandidate[],
 ): LeaderCandidate | undefined {
-  let best: LeaderCandidate | undefined;
-  for (const candidate of candidates) {
-    if (candidate.zone !== zone || !candidate.isAvailable) {
-      continue;
-    }
-    if (best === undefined || compareCandidates(candidate, best) < 0) {
-      best = candidate;
-    }
-  }
-  return best;
+  return sortLeaders(zone, candidates)[0];
+}
+
+// A leader is trusted until it says that it has lost a service, others only once
+// they are known to reach all.
+function mayServeCallers({ reach, leaderSinceMs }: LeaderCandidate): boolean {
+  return reach === REACH.confirmed ||
+    (reach === REACH.unknown && leaderSinceMs !== undefined);
 }
 
 function compareCandidates(a: LeaderCandidate, b: LeaderCandidate): number {
--- a/packages/core/src/fleet/leader_selection_test.ts
+++ b/packages/core/src/fleet/leader_selection_test.ts
@@ -1,5 +1,6 @@
 import { toId, type VmId, type ZoneId } from "@limpetford/domain/ids";
 
+import { REACH } from "../reach/vm_reach_table.ts";
 import { chooseLeader, type LeaderCandidate } from "./leader_selection.ts";
 
 const ZONE = toId<ZoneId>("z");
@@ -13,6 +14,7 @@
     zone: ZONE,
     isAvailable: true,
     leaderSinceMs: undefined,
+    reach: REACH.unknown,
     cores: 1,
     ...changes,
   };
@@ -53,6 +55,41 @@
       ],
       expected: "b",
     },
+    {
+      name: "a VM that reaches the servers, if the leader has lost them",
+      candidates: [
+        buildCandidate("a", { leaderSinceMs: 5, reach: REACH.lost }),
+        buildCandidate("b", { cores: 2 }),
+        buildCandidate("c", { reach: REACH.confirmed }),
+      ],
+      expected: "c",
+    },
+    {
+      name: "the leader that has lost the servers, if no VM reaches them",
+      candidates: [
+        buildCandidate("a", { leaderSinceMs: 5, reach: REACH.lost }),
+        buildCandidate("b", { cores: 2 }),
+        buildCandidate("c", { reach: REACH.lost }),
+      ],
+      expected: "a",
+    },
+    {
+      name: "the leader, if only other VMs have lost the servers",
+      candidates: [
+        buildCandidate("a", { leaderSinceMs: 5 }),
+        buildCandidate("b", { reach: REACH.lost }),
+        buildCandidate("c", { reach: REACH.confirmed }),
+      ],
+      expected: "a",
+    },
+    {
+      name: "the new leader, once the former reaches the servers again",
+      candidates: [
+        buildCandidate("a", { cores: 2, reach: REACH.confirmed }),
+        buildCandidate("c", { leaderSinceMs: 9, reach: REACH.confirmed }),
+      ],
+      expected: "c",
+    },
     {
       name: "no VM of another zone",
       candidates: [buildCandidate("a", { zone: toId<ZoneId>("other") })],
--- a/packages/entry/src/fakes/exchange_side.ts
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -16,6 +16,7 @@
 import { CrashProtection } from "../fleet/crash_protection.ts";
 import { FleetLog } from "../fleet/fleet_log.ts";
 import { FleetPeers } from "../fleet/fleet_peers.ts";
+import { FleetReach } from "../fleet/fleet_reach.ts";
 import { FleetState } from "../fleet/fleet_state.ts";
 import {
   ServerRateLimits,
@@ -78,6 +79,7 @@
   readonly log: FleetLog;
   readonly crashes: CrashProtection;
   readonly limits: ServerRateLimits;
+  readonly reach: FleetReach;
   readonly limiter: SharedRateLimiter;
 
   /**
@@ -132,6 +134,14 @@
       retryBounds: { ratio: 0.2, slack: 60, windowMs: 10_000 },
       findRateLimit: () => undefined,
     });
+    this.reach = new FleetReach({
+      self: this.self,
+      peers,
+      balancers: this.balancers,
+      monitor: { verify: () => Promise.resolve() },
+      clock,
+      notifyChange: () => undefined,
+    });
     this.limiter = new SharedRateLimiter({
       self: this.self,
       state,
@@ -152,6 +162,7 @@
       limiter: this.limiter,
       suspicions: this.crashes.suspicions,
       serverLimits: this.limits.tracker,
+      reach: this.reach,
       clock,
       log,
     });
--- /dev/null
+++ b/packages/entry/src/fleet/fleet_caller_server.ts
@@ -0,0 +1,77 @@
+/** Wires the server that takes callers' requests on the users' platform. */
+
+import type { Clock } from "@limpetford/core/time/clock";
+import type { RandomSource } from "@limpetford/core/time/random_source";
+
+import { PlatformDialect } from "../dialect/platform_dialect.ts";
+import { CallerServer } from "../http/caller_server.ts";
+import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
+import { FleetDecisionLog } from "./fleet_decision_log.ts";
+import type { FleetLog } from "./fleet_log.ts";
+import type { FleetSettings } from "./fleet_settings.ts";
+import type { FleetState } from "./fleet_state.ts";
+import type { PlacementRouter } from "./placement_router.ts";
+import type { SharedRateLimiter } from "./shared_rate_limiter.ts";
+import { EmptyEntrySelector, RefusingLedger } from "./unused_ports.ts";
+
+/**
+ * Configuration age up to which keys are accepted, as a share of the time
+ * within which a revoked key must stop working.
+ */
+const KEYS_TRUSTED_SHARE = 0.8;
+/** Time beyond the callers' idle limit after which idle connections close. */
+const IDLE_TIMEOUT_MARGIN_MS = 500;
+/**
+ * Limit of the HTTP parser in bytes. The limit for callers is part of the
+ * configuration and is enforced later, on admission.
+ */
+export const PARSER_HEADER_BYTES = 65_536;
+
+/** Components that take part in serving callers. */
+export interface FleetCallerServerParts {
+  readonly state: FleetState;
+  readonly limiter: SharedRateLimiter;
+  readonly router: PlacementRouter;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly log: FleetLog;
+  readonly metrics: PrometheusMetrics;
+}
+
+/**
+ * Creates the server for callers; it follows the limits of the configuration.
+ *
+ * @param settings - address and bounds
+ * @param parts - components that take part in serving
+ * @returns a server that does not listen yet
+ */
+export function createFleetCallerServer(
+  { self, revocationMs }: FleetSettings,
+  { state, limiter, log, ...parts }: FleetCallerServerParts,
+): CallerServer {
+  const server = new CallerServer({
+    ...parts,
+    configuration: state,
+    rateLimiter: limiter,
+    ledger: new RefusingLedger(),
+    entrySelector: new EmptyEntrySelector(),
+    decisions: new FleetDecisionLog(log, state, parts.clock),
+    dialect: new PlatformDialect({
+      state,
+      keysTrustedForMs: revocationMs * KEYS_TRUSTED_SHARE,
+    }),
+  }, {
+    address: self.callerAddress,
+    maxHeaderBytes: PARSER_HEADER_BYTES,
+  });
+  state.subscribe(() => {
+    const limits = state.active?.configuration.callerLimits;
+    if (limits !== undefined) {
+      server.setTimeouts({
+        headersTimeoutMs: limits.headerTimeoutMs,
+        keepAliveTimeoutMs: limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS,
+      });
+    }
+  });
+  return server;
+}
--- a/packages/entry/src/fleet/fleet_contacts.ts
+++ b/packages/entry/src/fleet/fleet_contacts.ts
@@ -111,6 +111,16 @@
     }
   }
 
+  /**
+   * Calls a VM that this one has news for.
+   *
+   * @param vm - the VM
+   */
+  async notifyVm(vm: Vm): Promise<void> {
+    const peer = this.#options.peers.getPeer(vm);
+    await this.#sendExchange({ address: vm.peerAddress, peer });
+  }
+
   #listSilentSeeds(): readonly SilentVm[] {
     const { state, peers, seeds } = this.#options;
     const heard = new Set(
--- a/packages/entry/src/fleet/fleet_directory.ts
+++ b/packages/entry/src/fleet/fleet_directory.ts
@@ -1,5 +1,7 @@
 /** What a VM tells callers and the platform: whom to use, and if it is ready. */
 
+import { REACH } from "@limpetford/core/reach/vm_reach_table";
+import type { Clock } from "@limpetford/core/time/clock";
 import type { ZoneId } from "@limpetford/domain/ids";
 import type { SocketAddress, Vm } from "@limpetford/domain/vm";
 
@@ -12,6 +14,7 @@
   readonly self: Vm;
   readonly state: FleetState;
   readonly peers: FleetPeers;
+  readonly clock: Clock;
 }
 
 /** Answers from what this VM knows of itself and of the leaders. */
@@ -29,16 +32,43 @@
   }
 
   override listAddresses(zone: ZoneId): readonly SocketAddress[] {
+    return this.#chooseVms(zone).map((vm) => vm.callerAddress);
+  }
+
+  // Without a leader in the callers' zone, one leader of this VM's region serves
+  // them, or else any leader.
+  #chooseVms(zone: ZoneId): readonly Vm[] {
     const { self, peers } = this.#options;
     const leaders = peers.listLeaders();
     const zoneLeaders = leaders.filter((vm) => vm.zone === zone);
     const regionLeaders = leaders.filter((vm) => vm.region === self.region);
-    // Without a leader in the callers' zone, one leader of this VM's region
-    // serves them, or else any leader.
-    const chosen = zoneLeaders.length > 0
-      ? zoneLeaders
-      : [regionLeaders[0] ?? leaders[0]];
-    return chosen.flatMap((vm) => vm?.callerAddress ?? []);
+    const [firstLeader] = [...regionLeaders, ...leaders];
+    if (zoneLeaders.length === 0) {
+      return firstLeader === undefined ? [] : [firstLeader];
+    }
+    return this.#selectReaching(zoneLeaders, [...regionLeaders, ...leaders]);
+  }
+
+  // Leaders that have lost services are named only if no other leader is known to
+  // reach all: then the servers are likely at fault, and not the leaders.
+  #selectReaching(
+    zoneLeaders: readonly Vm[],
+    others: readonly Vm[],
+  ): readonly Vm[] {
+    const { peers, clock, self } = this.#options;
+    const nowMs = clock.readMonotonicMs();
+    const reaching = zoneLeaders.filter(({ incarnation }) =>
+      peers.reach.find(incarnation.vm, nowMs) !== REACH.lost
+    );
+    if (reaching.length > 0) {
+      return reaching;
+    }
+    const confirmed = others.filter(({ incarnation }) =>
+      peers.reach.find(incarnation.vm, nowMs) === REACH.confirmed
+    );
+    const near = confirmed.filter((vm) => vm.region === self.region);
+    const chosen = near.length > 0 ? near : confirmed;
+    return chosen.length > 0 ? [...new Set(chosen)] : zoneLeaders;
   }
 
   override isReady(): boolean {
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -13,6 +13,7 @@
 import { MESSAGE_CODEC_VERSION } from "@limpetford/peer/message_codec";
 
 import { FleetContacts } from "./fleet_contacts.ts";
+import type { FleetReach } from "./fleet_reach.ts";
 import type { ServerTokenIssuer } from "./server_token_issuer.ts";
 import type { SuspicionNotice } from "./suspicion_sync.ts";
 import {
@@ -20,6 +21,7 @@
   SyncMessages,
   type SyncMessagesOptions,
 } from "./sync_messages.ts";
+import { ZoneLeadership } from "./zone_leadership.ts";
 
 const CALL_TIMEOUT_MS = 250;
 /** Upper limit of the timeout, which grows with the number of suspected VMs. */
@@ -50,6 +52,10 @@
   /** Peer addresses to call while no other VM is known. */
   readonly seeds: readonly SocketAddress[];
   readonly tokenIssuer: ServerTokenIssuer;
+  readonly reach: Pick<
+    FleetReach,
+    "listRows" | "applyRows" | "update" | "verify"
+  >;
 }
 
 // A VM that this one exchanges messages with.
@@ -73,7 +79,7 @@
   readonly #partners = new Map<VmId, Partner>();
   #timer: NodeJS.Timeout | undefined;
   #tickedAtMs = 0;
-  #zoneLeader: VmId | undefined;
+  readonly #leadership: ZoneLeadership;
   readonly #contacts: FleetContacts;
   #isStopped = false;
 
@@ -85,6 +91,7 @@
   constructor(options: FleetExchangeOptions) {
     this.#options = options;
     this.#messages = new SyncMessages(options);
+    this.#leadership = new ZoneLeadership(options);
     this.#contacts = new FleetContacts({
       ...options,
       messages: this.#messages,
@@ -143,6 +150,20 @@
     this.#runTick();
   }
 
+  /** Calls all VMs of the zone at once, if they follow this one. */
+  notifyZone(): void {
+    const { state, self } = this.#options;
+    if (!this.#leadership.isFirst) {
+      return;
+    }
+    for (const vm of state.listVms()) {
+      const isOther = vm.incarnation.vm !== self.incarnation.vm;
+      if (isOther && vm.zone === self.zone) {
+        void this.#contacts.notifyVm(vm);
+      }
+    }
+  }
+
   /**
    * Computes this VM's rank among the VMs that read the store. Ranks stagger
    * the reads: the first reader passes its results on to the others.
@@ -160,8 +181,7 @@
   }
 
   #scheduleTick(): void {
-    const isLeader = this.#options.peers.ownLeaderSinceMs !== undefined;
-    const isSettled = this.#zoneLeader !== undefined && !isLeader;
+    const isSettled = this.#leadership.isFollowing;
     this.#timer = setTimeout(() => {
       this.#runTick();
       this.#scheduleTick();
@@ -172,18 +192,18 @@
     if (this.#isStopped) {
       return;
     }
-    const { clock, peers, self } = this.#options;
+    const { clock } = this.#options;
     const nowMs = clock.readMonotonicMs();
     if (nowMs - this.#tickedAtMs > PAUSE_THRESHOLD_MS) {
       // Other VMs have taken over this VM's callers during the pause.
-      peers.ownLeaderSinceMs = undefined;
+      this.#leadership.clearClaim();
     }
     this.#tickedAtMs = nowMs;
     this.sendEvidence();
-    const isLeader = this.#updateLeadership();
+    const isLeader = this.#leadership.update();
     const partners = this.#choosePartners(isLeader);
     if (isLeader) {
-      this.#contacts.pollSilent(this.#zoneLeader === self.incarnation.vm);
+      this.#contacts.pollSilent(this.#leadership.isFirst);
     } else if (partners.length === 0) {
       this.#contacts.pollSeed();
     }
@@ -219,31 +239,6 @@
       this.#getPartner(vm.incarnation.vm).nextAtMs === 0;
   }
 
-  #updateLeadership(): boolean {
-    const { peers, self, clock, log, limiter, balancers } = this.#options;
-    peers.ownRequestsPerSecond = limiter.readRequestsPerSecond();
-    const leaders = peers.listZoneLeaders(self.zone);
-    const leader = leaders[0]?.incarnation.vm;
-    const isLeader = leaders.some((vm) =>
-      vm.incarnation.vm === self.incarnation.vm
-    );
-    if (!isLeader) {
-      peers.ownLeaderSinceMs = undefined;
-    } else {
-      peers.ownLeaderSinceMs ??= clock.readWallMs();
-    }
-    balancers.setVmCount(isLeader ? peers.listLeaders().length : undefined);
-    if (leader !== this.#zoneLeader) {
-      log.record("lead-changed", {
-        zone: self.zone,
-        lead: leader ?? "",
-        before: this.#zoneLeader ?? "",
-      });
-      this.#zoneLeader = leader;
-    }
-    return isLeader;
-  }
-
   #choosePartners(isLeader: boolean): readonly Vm[] {
     const { peers, self } = this.#options;
     const leaders = isLeader
--- a/packages/entry/src/fleet/fleet_exchange_test.ts
+++ b/packages/entry/src/fleet/fleet_exchange_test.ts
@@ -74,6 +74,7 @@
     suspicions: side.crashes.suspicions,
     serverLimits: side.limits.tracker,
     tokenIssuer: side.limits.issuer,
+    reach: side.reach,
     client,
     clock,
     seeds: seeds.filter((seed) => seed !== peerAddress),
--- a/packages/entry/src/fleet/fleet_peers.ts
+++ b/packages/entry/src/fleet/fleet_peers.ts
@@ -6,6 +6,7 @@
   type LeaderCandidate,
   sortLeaders,
 } from "@limpetford/core/fleet/leader_selection";
+import { VmReachTable } from "@limpetford/core/reach/vm_reach_table";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { VmId, ZoneId } from "@limpetford/domain/ids";
 import type { Vm } from "@limpetford/domain/vm";
@@ -74,6 +75,8 @@
   readonly #clock: Clock;
   readonly #peers = new Map<VmId, PeerState>();
   readonly #startedAtMs: number;
+  /** Which VMs reach the backend servers. */
+  readonly reach = new VmReachTable();
   /** Rate at which callers send requests to this VM. */
   ownRequestsPerSecond = 0;
   readonly #leaderCounts = new Map<ZoneId, number>();
@@ -324,10 +327,13 @@
 
   #buildCandidate(vm: Vm): LeaderCandidate {
     const { vm: id } = vm.incarnation;
+    const nowMs = this.#clock.readMonotonicMs();
+    const reach = this.reach.find(id, nowMs);
     if (this.#isSelf(vm)) {
       return {
         id,
         zone: vm.zone,
+        reach,
         isAvailable: !this.isLeaving && this.#state.mayServe() &&
           this.discoveryLeftMs === 0,
         leaderSinceMs: this.ownLeaderSinceMs,
@@ -335,10 +341,10 @@
       };
     }
     const peer = this.getPeer(vm);
-    const nowMs = this.#clock.readMonotonicMs();
     return {
       id,
       zone: vm.zone,
+      reach,
       isAvailable: !peer.isLeaving && peer.suspectedUntilMs <= nowMs,
       leaderSinceMs: this.readClaim(vm)?.sinceMs,
       cores: vm.weight,
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -6,18 +6,18 @@
 import { FleetCallClient } from "@limpetford/peer/fleet_calls";
 import { StoreClient } from "@limpetford/platform/store/store_client";
 
-import { PlatformDialect } from "../dialect/platform_dialect.ts";
-import { CallerServer } from "../http/caller_server.ts";
+import type { CallerServer } from "../http/caller_server.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import { TcpConnectProbe } from "./connect_probe.ts";
 import { CrashProtection } from "./crash_protection.ts";
 import { DirectoryServer } from "./directory_server.ts";
-import { FleetDecisionLog } from "./fleet_decision_log.ts";
+import { createFleetCallerServer } from "./fleet_caller_server.ts";
 import { FleetDirectory } from "./fleet_directory.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
 import { addFleetGauges } from "./fleet_gauges.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import { FleetPeers } from "./fleet_peers.ts";
+import { FleetReach } from "./fleet_reach.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import { FleetState } from "./fleet_state.ts";
 import { PlacementRouter } from "./placement_router.ts";
@@ -37,15 +37,9 @@
   StoreReadSchedule,
 } from "./store_read_schedule.ts";
 import { TopicConsumer } from "./topic_consumer.ts";
-import { EmptyEntrySelector, RefusingLedger } from "./unused_ports.ts";
 import { VmRegistration } from "./vm_registration.ts";
 import { ZoneTraffic } from "./zone_traffic.ts";
 
-/**
- * Configuration age up to which keys are accepted, as a share of the time
- * within which a revoked key must stop working.
- */
-const KEYS_TRUSTED_SHARE = 0.8;
 /** Share of the grace period for which a draining VM still accepts requests. */
 const LINGER_SHARE = 0.6;
 /**
@@ -59,17 +53,10 @@
 const MAINTENANCE_INTERVAL_MS = 250;
 /** Timeout of a call that asks another VM for a token. */
 const TOKEN_TIMEOUT_MS = 60;
-/** Time beyond the callers' idle limit after which idle connections close. */
-const IDLE_TIMEOUT_MARGIN_MS = 500;
 /** VMs spread their reads after a return of the store over this time. */
 const SNAPSHOT_SPREAD_MS = 1_000;
 /** How long a read waits for a new record, as a share of the same time. */
 const CONFIGURATION_WAIT_SHARE = 0.1;
-/**
- * Limit of the HTTP parser in bytes. The limit for callers is part of the
- * configuration and is enforced later, on admission.
- */
-const PARSER_HEADER_BYTES = 65_536;
 
 /** Dependencies of a {@link FleetVm}. */
 export interface FleetVmDependencies {
@@ -141,7 +128,7 @@
     this.#peers = new FleetPeers(self, state, clock);
     const probe = new TcpConnectProbe();
     this.#directory = new DirectoryServer(
-      new FleetDirectory({ self, state, peers: this.#peers }),
+      new FleetDirectory({ self, state, peers: this.#peers, clock }),
     );
     this.#crashes = new CrashProtection({
       probe,
@@ -182,7 +169,18 @@
       clock,
       random,
       log,
-      handleChange: notifyChange,
+      handleChange: () => {
+        notifyChange();
+        this.#exchange.notifyZone();
+      },
+    });
+    const fleetReach = new FleetReach({
+      self,
+      peers: this.#peers,
+      balancers: this.#balancers,
+      monitor: this.#reach,
+      clock,
+      notifyChange,
     });
     this.#router = new PlacementRouter({
       balancers: this.#balancers,
@@ -221,6 +219,7 @@
       suspicions: this.#crashes.suspicions,
       serverLimits: this.#limits.tracker,
       tokenIssuer: this.#limits.issuer,
+      reach: fleetReach,
       client: this.#calls,
       clock,
       log,
@@ -247,7 +246,15 @@
       this.#handleStoreReturn(isFirst);
     });
     this.#consumers = this.#buildConsumers();
-    this.#callerServer = this.#buildCallerServer(limiter);
+    this.#callerServer = createFleetCallerServer(settings, {
+      state,
+      limiter,
+      router: this.#router,
+      clock,
+      random,
+      log,
+      metrics,
+    });
   }
 
   /** Starts all components and begins to accept callers. */
@@ -352,39 +359,6 @@
     );
   }
 
-  #buildCallerServer(limiter: SharedRateLimiter): CallerServer {
-    const { clock, random, log, metrics } = this.#dependencies;
-    const { self, revocationMs } = this.#settings;
-    const server = new CallerServer({
-      configuration: this.#state,
-      rateLimiter: limiter,
-      ledger: new RefusingLedger(),
-      router: this.#router,
-      entrySelector: new EmptyEntrySelector(),
-      clock,
-      random,
-      metrics,
-      decisions: new FleetDecisionLog(log, this.#state, clock),
-      dialect: new PlatformDialect({
-        state: this.#state,
-        keysTrustedForMs: revocationMs * KEYS_TRUSTED_SHARE,
-      }),
-    }, {
-      address: self.callerAddress,
-      maxHeaderBytes: PARSER_HEADER_BYTES,
-    });
-    this.#state.subscribe(() => {
-      const limits = this.#state.active?.configuration.callerLimits;
-      if (limits !== undefined) {
-        server.setTimeouts({
-          headersTimeoutMs: limits.headerTimeoutMs,
-          keepAliveTimeoutMs: limits.idleTimeoutMs + IDLE_TIMEOUT_MARGIN_MS,
-        });
-      }
-    });
-    return server;
-  }
-
   // A store that has returned from a copy may have lost this VM's record.
   #handleStoreReturn(isFirst: boolean): void {
     void this.#storeEra.load();
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -15,6 +15,7 @@
 
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetPeers, PeerState } from "./fleet_peers.ts";
+import type { FleetReach } from "./fleet_reach.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { ServerLimitTracker } from "./server_limit_tracker.ts";
 import type { ServiceBalancers } from "./service_balancers.ts";
@@ -33,6 +34,7 @@
   readonly limiter: SharedRateLimiter;
   readonly suspicions: SuspicionSync;
   readonly serverLimits: ServerLimitTracker;
+  readonly reach: Pick<FleetReach, "listRows" | "applyRows">;
   readonly clock: Clock;
   readonly log: FleetLog;
 }
@@ -67,6 +69,7 @@
       this.#findPeer(message),
       message.suspicions,
     );
+    this.#options.reach.applyRows(message.reach, sentAtMs);
     this.#options.serverLimits.applyRows(
       message.serverLimits ?? [],
       sentAtMs,
@@ -201,6 +204,7 @@
       this.#options;
     const { active, servers } = state;
     const nowMs = clock.readMonotonicMs();
+    const reach = this.#options.reach.listRows();
     const version = active?.configuration.version ?? -1;
     const isLeader = peers.ownLeaderSinceMs !== undefined;
     const vms = state.listVms();
@@ -240,6 +244,7 @@
       serverLimits: this.#options.serverLimits.listRows(
         peer === undefined ? 0 : nowMs - peer.knownSinceMs,
       ),
+      ...reach === undefined ? {} : { reach },
       ...recentPeer !== undefined && this.#isVmListOther(recentPeer)
         ? { vms }
         : {},
--- a/packages/peer/src/fleet_sync.ts
+++ b/packages/peer/src/fleet_sync.ts
@@ -159,6 +159,19 @@
   readonly suspicions?: SuspicionUpdate;
   /** Like `suspicions`. */
   readonly serverLimits?: readonly ServerLimitRow[];
+  /** Absent while the sender knows of no VM that has lost a service. */
+  readonly reach?: readonly VmReachRow[];
+}
+
+/** Which services a VM has lost, as its links to their servers failed. */
+export interface VmReachRow {
+  readonly vm: string;
+  /** Services to none of whose servers it can connect. */
+  readonly lostServices: readonly string[];
+  /** Time since it last reached any server, in milliseconds; null if never. */
+  readonly reachedAgeMs: number | null;
+  /** Time since this was true, in milliseconds. */
+  readonly ageMs: number;
 }
 
 /** Rate limit of a backend server, or the end of one. */
--- a/packages/standins/src/capacity/fleet_probes.ts
+++ b/packages/standins/src/capacity/fleet_probes.ts
@@ -10,6 +10,7 @@
 import type { PlacementDemand } from "@limpetford/core/placement/placement_demand";
 import { chooseServer } from "@limpetford/core/placement/server_choice";
 import { TrackedServer } from "@limpetford/core/placement/tracked_server";
+import { REACH } from "@limpetford/core/reach/vm_reach_table";
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 import {
   type RouteId,
@@ -39,6 +40,7 @@
     zone: vm.zone,
     isAvailable: true,
     leaderSinceMs: undefined,
+    reach: REACH.unknown,
     cores: 1,
   }));
   const zones = [...new Set(candidates.map(({ zone }) => zone))];
