fix: a VM that reaches no server of a service hands requests to one that does

Cause: a VM could serve a request only over its own links.

Change: while a VM can connect to no server of a service, it forwards the requests for it to a VM that has lately reached servers, of its own zone before others, leaders before others. The first VM admits: key, configuration and the team's token are settled there; the other one sees to servers, attempts, queue and deadline, and says of a refusal whether the request has run. Forwarded once at most, counted once in the retry budget, never to a VM with an older configuration. A connect that is under way, and a request that waits for a slot, go the new way at once; what may have been sent does not, unless it may be repeated. A connect that failed uses up no attempt, since no server got the request. Idle connections are closed once the links are back, for some may be silent for good.

Ruled out: forwarding to the caller port (anybody could send the header); sending the key along; a hedge at both VMs.

--- a/packages/core/src/placement/service_placement.ts
+++ b/packages/core/src/placement/service_placement.ts
@@ -62,7 +62,8 @@
   /** Whether this VM reaches the servers. */
   readonly reach = new ServiceReach();
   readonly #peerLoads = new PeerLoads(this.servers);
-  readonly #waiting = new WaitQueue<T>();
+  /** Requests that wait for a slot. */
+  readonly waiting = new WaitQueue<T>();
   readonly #serviceTimes = new ServiceTimeEstimator();
   readonly #sizes = new RouteSizeEstimator();
   readonly #retryTokens: RetryTokenBucket;
@@ -95,7 +96,7 @@
    * @returns the number of requests that wait for a slot
    */
   get waitingCount(): number {
-    return this.#waiting.size;
+    return this.waiting.size;
   }
 
   /**
@@ -149,7 +150,7 @@
       const retryAfterMs = this.#estimateWaitMs(demand, nowMs);
       return { kind: "overloaded", retryAfterMs };
     }
-    const slot = this.#waiting.hasWaiting(demand.priority)
+    const slot = this.waiting.hasWaiting(demand.priority)
       ? undefined
       : this.#takeSlot(demand, nowMs);
     if (slot !== undefined) {
@@ -162,7 +163,7 @@
     const endAtMs = isLasting ? demand.targetAtMs : demand.deadlineAtMs;
     const leftMs = endAtMs - nowMs - this.estimateServiceMs(demand);
     if (waitMs > leftMs * WAIT_SHARE) {
-      this.#waiting.recordRefused(nowMs);
+      this.waiting.recordRefused(nowMs);
       this.#unserved.recordRefused(nowMs);
       return { kind: "overloaded", retryAfterMs: waitMs };
     }
@@ -199,7 +200,7 @@
     const { nowMs, untilMs } = times;
     slot.server.removeRunning(slot.running);
     slot.server.setNextTokenAt(untilMs);
-    const other = this.#waiting.hasWaiting(waiter.demand.priority)
+    const other = this.waiting.hasWaiting(waiter.demand.priority)
       ? undefined
       : this.#takeSlot(waiter.demand, nowMs);
     if (other !== undefined) {
@@ -217,13 +218,13 @@
    * @returns the requests that left the queue, with their decisions
    */
   decideWaiting(nowMs: number): readonly WaiterDecision<T>[] {
-    if (this.#waiting.size === 0) {
+    if (this.waiting.size === 0) {
       this.#throughput.recordQueue(false, nowMs);
       return [];
     }
     const estimate = (demand: PlacementDemand): number =>
       this.estimateServiceMs(demand);
-    const expired = this.#waiting.removeExpired(
+    const expired = this.waiting.removeExpired(
       nowMs,
       (demand) =>
         computeServerWaitMs(this.listServers(), demand, nowMs) >
@@ -238,26 +239,16 @@
         retryAfterMs: this.#estimateWaitMs(waiter.demand, nowMs),
       },
     }));
-    for (const waiter of this.#waiting.listInOrder(nowMs, estimate)) {
+    for (const waiter of this.waiting.listInOrder(nowMs, estimate)) {
       const slot = this.#takeSlot(waiter.demand, nowMs);
       if (slot !== undefined) {
-        this.#waiting.remove(waiter);
+        this.waiting.remove(waiter);
         decisions.push({ waiter, decision: { kind: "placed", slot } });
       }
     }
     return decisions;
   }
 
-  /**
-   * Removes a waiting request whose caller has disconnected.
-   *
-   * @param waiter - queue entry that {@link acquire} returned
-   * @returns false if it had already left the queue
-   */
-  withdraw(waiter: Waiter<T>): boolean {
-    return this.#waiting.remove(waiter);
-  }
-
   /**
    * Releases a slot and updates the estimates with the attempt's outcome.
    *
@@ -345,7 +336,7 @@
   }
 
   #addWaiter(waiter: Waiter<T>, nowMs: number): void {
-    this.#waiting.add(waiter);
+    this.waiting.add(waiter);
     this.#throughput.recordQueue(true, nowMs);
   }
 
@@ -372,7 +363,7 @@
     }
     const running = { startedAtMs: nowMs, expectedMs };
     server.addRunning(running);
-    this.#waiting.recordPlaced(demand, nowMs);
+    this.waiting.recordPlaced(demand, nowMs);
     const needsToken =
       this.#options.findRateLimit(server.announced) !== undefined;
     if (needsToken) {
@@ -386,7 +377,7 @@
 
   // At least the time until a server takes requests, if one is expected to.
   #estimateWaitMs(demand: PlacementDemand, nowMs: number): number {
-    const ahead = this.#waiting.countAhead(demand, nowMs) + 1;
+    const ahead = this.waiting.countAhead(demand, nowMs) + 1;
     const perMs = this.#throughput.estimatePerMs(
       listAvailableSoon(this.listServers(), nowMs),
       this.estimateServiceMs(demand),
--- a/packages/core/src/placement/wait_queue.ts
+++ b/packages/core/src/placement/wait_queue.ts
@@ -62,6 +62,17 @@
     return true;
   }
 
+  /**
+   * Takes all requests out of the queue.
+   *
+   * @returns the entries, in the order of their arrival
+   */
+  takeAll(): readonly Waiter<T>[] {
+    const taken = this.#waiters;
+    this.#waiters = [];
+    return taken;
+  }
+
   /**
    * Records that a request was placed, whether or not it has waited.
    *
--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -6,10 +6,11 @@
 
 import { WeightedRoundRobin } from "@limpetford/core/fleet/weighted_round_robin";
 import type { HostRoute } from "@limpetford/domain/host_route";
-import { type RequestId, toId } from "@limpetford/domain/ids";
+import { type RequestId, type TeamId, toId } from "@limpetford/domain/ids";
 import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
 import { makeError, makeOk, type Result } from "@limpetford/domain/result";
 import { ROUTE_ACCESS } from "@limpetford/domain/route";
+import { FORWARDED_HEADER } from "@limpetford/peer/fleet_calls";
 import {
   buildRetryAfter,
   buildServerHeaders,
@@ -28,6 +29,14 @@
 import { type Refusal, refuseNotRun } from "../serving/refusal.ts";
 import type { Admission, Arrival } from "../serving/request_admission.ts";
 import type { OutboundRequest } from "../serving/response_receiver.ts";
+import {
+  buildForwardedHeaders,
+  readForwardedResponse,
+} from "./forwarded_messages.ts";
+import {
+  type ForwardingTerms,
+  toForwardedResult,
+} from "./forwarding_headers.ts";
 import { isHopByHop, parseConnectionOptions } from "./header_names.ts";
 import { buildProblemResponse } from "./problem_response.ts";
 import {
@@ -119,6 +128,14 @@
     const head = parseCallerHeaders(request.headers);
     const path = target.split("?", 1)[0] ?? target;
     const route = this.#state.findHostRoute(head.host, path);
+    const { forwarding } = arrival;
+    if (forwarding !== undefined) {
+      return this.#admitForwarded(request, arrival, {
+        route,
+        head,
+        forwarding,
+      });
+    }
     if (route === undefined) {
       return makeError(refuseNotRun("route-unknown"));
     }
@@ -131,7 +148,9 @@
       context: this.#buildContext(request, arrival, {
         route,
         head,
-        key: key.value,
+        team: key.value === undefined
+          ? undefined
+          : this.#state.findTeamOfKey(key.value.hash),
       }),
     });
   }
@@ -152,7 +171,8 @@
         parseConnectionOptions(value).forEach((option) => dropped.add(option));
       }
       const isForwarded = !isHopByHop(name) && !isSetByVm(name) &&
-        name !== "content-length" && name !== "expect";
+        name !== "content-length" && name !== "expect" &&
+        name !== FORWARDED_HEADER;
       if (isForwarded) {
         selected.push(name, value);
       }
@@ -177,9 +197,14 @@
         ...buildServerHeaders({
           requestId: id,
           timeLeftMs: context.deadlineAtMs - details.nowMs,
-          server: details.server,
+          server: details.forwarding === undefined ? details.server : undefined,
           team: context.team,
         }),
+        ...buildForwardedHeaders(
+          context,
+          details,
+          this.#state.active?.configuration.version ?? -1,
+        ),
       ],
       isResponseToAttempt: (headers) => {
         const { requestId } = parseServerResponse(0, headers);
@@ -192,7 +217,11 @@
 
   override readResponse(
     { status, headers }: ResponseHead,
+    isForwarded = false,
   ): ResponseClassification {
+    if (isForwarded) {
+      return readForwardedResponse({ status, headers });
+    }
     const { isNotRun, isSigned, notice } = parseServerResponse(status, headers);
     if (isNotRun) {
       return { outcome: "shed", isNotRun, notice };
@@ -229,6 +258,9 @@
         RETRY_JITTER_SHARE * options.random.sampleUniform();
       headers.push(...buildRetryAfter(problem.retryAfterMs * jitterFactor));
     }
+    if (options.isForwarded) {
+      headers.push(FORWARDED_HEADER, toForwardedResult(refusal.outcome));
+    }
     if (options.isLastOnConnection) {
       headers.push("connection", "close");
     }
@@ -254,6 +286,30 @@
     );
   }
 
+  // The other VM has checked the key and taken a token of the team.
+  #admitForwarded(
+    request: IncomingMessage,
+    arrival: Arrival,
+    { route, head, forwarding }: {
+      readonly route: HostRoute | undefined;
+      readonly head: CallerRequestHeaders;
+      readonly forwarding: ForwardingTerms;
+    },
+  ): Result<Admission, Refusal> {
+    const { service, team, version } = forwarding;
+    const isBehind =
+      (this.#state.active?.configuration.version ?? -1) < version;
+    const isKnown =
+      route?.targets.some((target) => target.service === service) === true &&
+      (team === undefined || this.#state.findTeam(team) !== undefined);
+    if (route === undefined || isBehind || !isKnown) {
+      return makeError(refuseNotRun("configuration-stale"));
+    }
+    const parts = { route, head, team };
+    const context = this.#buildContext(request, arrival, parts);
+    return makeOk({ key: undefined, context });
+  }
+
   #checkKey(
     route: HostRoute,
     head: CallerRequestHeaders,
@@ -282,14 +338,11 @@
     parts: {
       readonly route: HostRoute;
       readonly head: CallerRequestHeaders;
-      readonly key: PresentedKey | undefined;
+      readonly team: TeamId | undefined;
     },
   ): Admission["context"] {
-    const { route, head, key } = parts;
-    const { receivedAtMs } = arrival;
-    const team = key === undefined
-      ? undefined
-      : this.#state.findTeamOfKey(key.hash);
+    const { route, head, team } = parts;
+    const { receivedAtMs, forwarding } = arrival;
     const teamPriority = team === undefined
       ? undefined
       : this.#state.findTeam(team)?.priority;
@@ -306,12 +359,15 @@
       target: request.url ?? "/",
       receivedAtMs,
       deadlineAtMs: receivedAtMs + timeoutMs,
-      isPassedOn: false,
+      isPassedOn: forwarding !== undefined,
       terms: {
-        service: this.#takeService(route),
+        service: forwarding?.service ?? this.#takeService(route),
         priority: teamPriority ?? route.priority,
-        targetAtMs: receivedAtMs + route.targetLatencyMs,
+        targetAtMs: receivedAtMs +
+          (forwarding?.targetLeftMs ?? route.targetLatencyMs),
         maxAttempts: route.maxAttempts,
+        attemptsBefore: forwarding?.attempts ?? 0,
+        isCounted: forwarding?.isCounted ?? false,
       },
     };
   }
--- a/packages/entry/src/dialect/serving_dialect.ts
+++ b/packages/entry/src/dialect/serving_dialect.ts
@@ -19,6 +19,7 @@
 import type { Refusal } from "../serving/refusal.ts";
 import type { Admission, Arrival } from "../serving/request_admission.ts";
 import type { OutboundRequest } from "../serving/response_receiver.ts";
+import type { ForwardingTerms } from "./forwarding_headers.ts";
 
 /** Properties of one attempt that differ from those of other attempts. */
 export interface AttemptDetails {
@@ -30,6 +31,8 @@
   readonly traceparent: string | undefined;
   /** Backend server that the attempt is sent to. */
   readonly server: ServerId;
+  /** Set if another VM sends the request to a server. */
+  readonly forwarding?: Pick<ForwardingTerms, "attempts" | "isCounted">;
 }
 
 /** Classification of a backend server's response by its head. */
@@ -37,6 +40,10 @@
   readonly outcome: Extract<AttemptOutcome, "served" | "failed" | "shed">;
   /** True if the backend server certainly did not run the request. */
   readonly isNotRun: boolean;
+  /** True if no other attempt may follow, whatever the outcome. */
+  readonly isFinal?: boolean;
+  /** Delay before the caller should retry, in ms; absent without one. */
+  readonly retryAfterMs?: number | undefined;
   /** State of the server; absent if the response does not speak for it. */
   readonly notice?: ServerNotice | undefined;
 }
@@ -46,6 +53,8 @@
   readonly requestId: string;
   /** True to close the connection after the response. */
   readonly isLastOnConnection: boolean;
+  /** True if another VM has forwarded the request. */
+  readonly isForwarded: boolean;
   readonly random: RandomSource;
 }
 
@@ -129,9 +138,13 @@
    * Classifies a backend server's response.
    *
    * @param head - status and headers of the response
+   * @param isForwarded - true if another VM sent it
    * @returns outcome of the attempt, and whether the request was not run
    */
-  abstract readResponse(head: ResponseHead): ResponseClassification;
+  abstract readResponse(
+    head: ResponseHead,
+    isForwarded?: boolean,
+  ): ResponseClassification;
 
   /**
    * Lists the headers that are added to a response forwarded to the caller.
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -9,7 +9,11 @@
   type FleetCallClient,
   FleetCallServer,
 } from "@limpetford/peer/fleet_calls";
-import type { EvidenceRow, SyncMessage } from "@limpetford/peer/fleet_sync";
+import type {
+  EvidenceRow,
+  FleetSyncHandlers,
+  SyncMessage,
+} from "@limpetford/peer/fleet_sync";
 import { MESSAGE_CODEC_VERSION } from "@limpetford/peer/message_codec";
 
 import { FleetContacts } from "./fleet_contacts.ts";
@@ -52,6 +56,7 @@
   /** Peer addresses to call while no other VM is known. */
   readonly seeds: readonly SocketAddress[];
   readonly tokenIssuer: ServerTokenIssuer;
+  readonly handleForwarded: FleetSyncHandlers["handleForwarded"];
   readonly reach: Pick<
     FleetReach,
     "listRows" | "applyRows" | "update" | "verify"
@@ -111,6 +116,7 @@
       handleServerLimitReport: (report) => {
         options.tokenIssuer.handleReport(report);
       },
+      handleForwarded: options.handleForwarded,
     });
   }
 
--- a/packages/entry/src/fleet/fleet_exchange_test.ts
+++ b/packages/entry/src/fleet/fleet_exchange_test.ts
@@ -75,6 +75,7 @@
     serverLimits: side.limits.tracker,
     tokenIssuer: side.limits.issuer,
     reach: side.reach,
+    handleForwarded: () => undefined,
     client,
     clock,
     seeds: seeds.filter((seed) => seed !== peerAddress),
--- a/packages/entry/src/fleet/fleet_peers.ts
+++ b/packages/entry/src/fleet/fleet_peers.ts
@@ -325,6 +325,17 @@
     }
   }
 
+  /**
+   * Checks whether another VM serves requests, as far as is known.
+   *
+   * @param vm - the VM
+   * @returns false if it is leaving or did not answer lately
+   */
+  isAvailable(vm: Vm): boolean {
+    const { isLeaving, suspectedUntilMs } = this.getPeer(vm);
+    return !isLeaving && suspectedUntilMs <= this.#clock.readMonotonicMs();
+  }
+
   #buildCandidate(vm: Vm): LeaderCandidate {
     const { vm: id } = vm.incarnation;
     const nowMs = this.#clock.readMonotonicMs();
@@ -340,12 +351,11 @@
         cores: vm.weight,
       };
     }
-    const peer = this.getPeer(vm);
     return {
       id,
       zone: vm.zone,
       reach,
-      isAvailable: !peer.isLeaving && peer.suspectedUntilMs <= nowMs,
+      isAvailable: this.isAvailable(vm),
       leaderSinceMs: this.readClaim(vm)?.sinceMs,
       cores: vm.weight,
     };
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -2,7 +2,7 @@
 
 import type { Clock } from "@limpetford/core/time/clock";
 import type { RandomSource } from "@limpetford/core/time/random_source";
-import { formatAddress } from "@limpetford/domain/vm";
+import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import { FleetCallClient } from "@limpetford/peer/fleet_calls";
 import { StoreClient } from "@limpetford/platform/store/store_client";
 
@@ -21,6 +21,7 @@
 import type { FleetSettings } from "./fleet_settings.ts";
 import { FleetState } from "./fleet_state.ts";
 import { PlacementRouter } from "./placement_router.ts";
+import { RequestForwarder } from "./request_forwarder.ts";
 import { ServerRateLimits } from "./server_rate_limits.ts";
 import { ServerReachMonitor } from "./server_reach_monitor.ts";
 import { ServiceBalancers } from "./service_balancers.ts";
@@ -169,9 +170,8 @@
       clock,
       random,
       log,
-      handleChange: () => {
-        notifyChange();
-        this.#exchange.notifyZone();
+      handleChange: (change, addresses) => {
+        this.#handleReachChange(change, addresses);
       },
     });
     const fleetReach = new FleetReach({
@@ -182,6 +182,16 @@
       clock,
       notifyChange,
     });
+    const forwarder = new RequestForwarder({
+      self,
+      state,
+      peers: this.#peers,
+      balancers: this.#balancers,
+      traffic,
+      clock,
+      random,
+      log,
+    });
     this.#router = new PlacementRouter({
       balancers: this.#balancers,
       state,
@@ -191,6 +201,7 @@
       limits: this.#limits,
       traffic,
       reach: this.#reach,
+      forwarder,
       notifyChange,
     });
     const limiter = new SharedRateLimiter({
@@ -220,6 +231,9 @@
       serverLimits: this.#limits.tracker,
       tokenIssuer: this.#limits.issuer,
       reach: fleetReach,
+      handleForwarded: (request, response) => {
+        this.#callerServer.acceptForwarded(request, response);
+      },
       client: this.#calls,
       clock,
       log,
@@ -359,6 +373,22 @@
     );
   }
 
+  // What has not been sent may go another way. Connections that were open may be
+  // silent for good, so they are not used again.
+  #handleReachChange(
+    change: "lost" | "regained",
+    addresses: readonly SocketAddress[],
+  ): void {
+    this.#exchange.notifyPartners();
+    this.#exchange.notifyZone();
+    if (change === "lost") {
+      this.#callerServer.abortConnecting(addresses);
+      this.#router.forwardWaiting();
+    } else {
+      this.#callerServer.closeIdle(addresses);
+    }
+  }
+
   // A store that has returned from a copy may have lost this VM's record.
   #handleStoreReturn(isFirst: boolean): void {
     void this.#storeEra.load();
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -181,6 +181,12 @@
       waitedMs: "number",
     },
   },
+  "request-forwarded": {
+    level: "info",
+    meaning:
+      "this VM reaches no server of the service; another VM sends the request",
+    fields: { request: "text", service: "text", to: "text" },
+  },
   "attempt-ended": {
     level: "info",
     meaning: "an attempt at a backend server ended",
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -19,6 +19,7 @@
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { PlacementLog } from "./placement_log.ts";
+import type { RequestForwarder } from "./request_forwarder.ts";
 import { ServerNotices } from "./server_notices.ts";
 import type { ServerRateLimits } from "./server_rate_limits.ts";
 import type { ServerReachMonitor } from "./server_reach_monitor.ts";
@@ -49,6 +50,7 @@
   readonly limits: ServerRateLimits;
   readonly traffic: ZoneTraffic;
   readonly reach: ServerReachMonitor;
+  readonly forwarder: RequestForwarder;
   /** Called when there is something to tell the other VMs. */
   readonly notifyChange: () => void;
 }
@@ -113,12 +115,17 @@
     if (service === undefined) {
       return { kind: "no-server", retryAfterMs: NO_SERVER_RETRY_MS };
     }
-    if (request.attempt === 1) {
-      service.recordRequest();
-    } else if (request.isHedge && !service.takeRetry()) {
+    if (request.isHedge && !service.takeRetry()) {
       return { kind: "overloaded", retryAfterMs: 0 };
     }
-    const { guard } = this.#options;
+    const { guard, forwarder } = this.#options;
+    const forwarded = forwarder.forward(request);
+    if (forwarded !== undefined) {
+      return { kind: "placed", placement: forwarded };
+    }
+    if (request.attempt === 1 && request.context.terms?.isCounted !== true) {
+      service.recordRequest();
+    }
     const refusal = guard.shouldAdmit(request) && await guard.admit(request);
     if (refusal) {
       return refusal;
@@ -133,6 +140,17 @@
     return verdict;
   }
 
+  /** Forwards the requests that wait for servers which this VM has lost. */
+  forwardWaiting(): void {
+    for (const service of this.#options.balancers.list()) {
+      if (service.reach.isUnreachable) {
+        service.waiting.takeAll().forEach((waiter) => {
+          this.#forwardWaiter(service, waiter);
+        });
+      }
+    }
+  }
+
   override planRetry(attempt: FailedAttempt): RetryVerdict {
     const service = this.#options.balancers.find(attempt.request);
     return service?.takeRetry() === true
@@ -317,9 +335,20 @@
     }
   }
 
+  #forwardWaiter(service: Balancer, waiter: Waiter<PendingPlacement>): void {
+    const { item } = waiter;
+    const placement = this.#options.forwarder.forward(item.request);
+    if (placement === undefined) {
+      service.waiting.add(waiter);
+    } else {
+      this.#options.guard.withdraw(item.request);
+      item.resolve({ kind: "placed", placement });
+    }
+  }
+
   #withdraw(service: Balancer, pending: PendingPlacement): void {
     const waiter = this.#waiters.get(pending);
-    if (waiter !== undefined && service.withdraw(waiter)) {
+    if (waiter !== undefined && service.waiting.remove(waiter)) {
       pending.resolve({ kind: "overloaded", retryAfterMs: 0 });
     }
   }
--- a/packages/entry/src/fleet/server_reach_monitor.ts
+++ b/packages/entry/src/fleet/server_reach_monitor.ts
@@ -1,11 +1,12 @@
 /** Finds out whether this VM still reaches the backend servers. */
 
 import type { TrackedServer } from "@limpetford/core/placement/tracked_server";
-import type { ServiceReach } from "@limpetford/core/reach/service_reach";
+import type { ReachChange } from "@limpetford/core/reach/service_reach";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { RandomSource } from "@limpetford/core/time/random_source";
 import type { ServerId, ServiceId } from "@limpetford/domain/ids";
 import { SERVER_STATE } from "@limpetford/domain/service";
+import type { SocketAddress } from "@limpetford/domain/vm";
 
 import type { ConnectProbe, ConnectResult } from "./connect_probe.ts";
 import type { FleetLog } from "./fleet_log.ts";
@@ -25,7 +26,10 @@
   readonly random: RandomSource;
   readonly log: FleetLog;
   /** Called when the servers of a service became unreachable or reachable. */
-  readonly handleChange: () => void;
+  readonly handleChange: (
+    change: Exclude<ReachChange, "none">,
+    addresses: readonly SocketAddress[],
+  ) => void;
 }
 
 /**
@@ -147,33 +151,31 @@
       accepted,
       failed: results.length - accepted,
     }, nowMs);
-    this.#reportChange(service, change, {
+    if (change === "none") {
+      return;
+    }
+    this.#logChange(service, change, {
       silentMs,
       lostMs: Math.round(nowMs - (lostAtMs ?? nowMs)),
     });
+    this.schedule();
+    this.#options.handleChange(
+      change,
+      balancer.listServers().map(({ announced }) => announced.address),
+    );
   }
 
-  #reportChange(
+  #logChange(
     service: ServiceId,
-    change: ReturnType<ServiceReach["recordRound"]>,
+    change: Exclude<ReachChange, "none">,
     times: { readonly silentMs: number; readonly lostMs: number },
   ): void {
-    const { log, handleChange } = this.#options;
-    switch (change) {
-      case "lost":
-        log.record("servers-unreachable", {
-          service,
-          silentMs: times.silentMs,
-        });
-        this.schedule();
-        handleChange();
-        break;
-      case "regained":
-        log.record("servers-reachable", { service, lostMs: times.lostMs });
-        handleChange();
-        break;
-      case "none":
-        break;
+    const { log } = this.#options;
+    if (change === "lost") {
+      const { silentMs } = times;
+      log.record("servers-unreachable", { service, silentMs });
+    } else {
+      log.record("servers-reachable", { service, lostMs: times.lostMs });
     }
   }
 
--- a/packages/entry/src/fleet/zone_traffic.ts
+++ b/packages/entry/src/fleet/zone_traffic.ts
@@ -1,7 +1,7 @@
 /** Counts what this VM moves between availability zones, by purpose. */
 
 import type { AttemptSample } from "@limpetford/core/evidence/attempt_sample";
-import type { AnnouncedServer } from "@limpetford/domain/announced_server";
+import type { ZoneId } from "@limpetford/domain/ids";
 import {
   formatAddress,
   type SocketAddress,
@@ -61,7 +61,10 @@
    * @param server - the server
    * @param sample - size of the response
    */
-  recordAttempt(server: AnnouncedServer, sample: AttemptSample): void {
+  recordAttempt(
+    server: { readonly zone: ZoneId },
+    sample: AttemptSample,
+  ): void {
     const { self, metrics } = this.#options;
     if (server.zone !== self.zone) {
       metrics.count(METRIC, "requests", HEAD_BYTES + sample.answerBytes);
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -7,7 +7,12 @@
 
 import { type RequestId, toId } from "@limpetford/domain/ids";
 import type { SocketAddress } from "@limpetford/domain/vm";
+import { FORWARDED_HEADER } from "@limpetford/peer/fleet_calls";
 
+import {
+  type ForwardingTerms,
+  parseForwardingHeader,
+} from "../dialect/forwarding_headers.ts";
 import { NativeDialect } from "../dialect/native_dialect.ts";
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import { BackendConnectionPool } from "../serving/backend_connection_pool.ts";
@@ -27,6 +32,7 @@
 /** Length of the accept queue, for many callers that connect at once. */
 const ACCEPT_BACKLOG = 4_096;
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
+const STATUS_BAD_REQUEST = 400;
 
 /** Address, certificates and limits of the server for callers. */
 export interface CallerServerOptions extends CallerServerLimits {
@@ -176,6 +182,42 @@
     this.#server.keepAliveTimeout = timeouts.keepAliveTimeoutMs;
   }
 
+  /**
+   * Serves a request that another VM forwards, on a connection of its own.
+   *
+   * @param request - request of Node's HTTP server
+   * @param response - response to it
+   */
+  acceptForwarded(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): void {
+    const forwarding = parseForwardingHeader(request.headers[FORWARDED_HEADER]);
+    if (forwarding === undefined) {
+      response.writeHead(STATUS_BAD_REQUEST, { connection: "close" }).end();
+      return;
+    }
+    this.#accept(request, response, forwarding);
+  }
+
+  /**
+   * Gives up connects that are under way; nothing has been sent on them.
+   *
+   * @param addresses - addresses of the servers
+   */
+  abortConnecting(addresses: readonly SocketAddress[]): void {
+    this.#connections.abortConnecting(addresses);
+  }
+
+  /**
+   * Closes idle connections, since a silent one can't be told from a sound one.
+   *
+   * @param addresses - addresses of the servers
+   */
+  closeIdle(addresses: readonly SocketAddress[]): void {
+    this.#connections.closeIdle(addresses);
+  }
+
   /** Stops immediately; requests in flight are aborted. */
   async stop(): Promise<void> {
     this.#isStopping = true;
@@ -254,12 +296,14 @@
   #accept(
     request: http.IncomingMessage,
     response: http.ServerResponse,
+    forwarding?: ForwardingTerms,
   ): void {
     const { socket } = request;
     this.#busySockets.set(socket, (this.#busySockets.get(socket) ?? 0) + 1);
     const exchange = new CallerExchange(request, response, {
       id: this.#resolveRequestId(request),
       receivedAtMs: this.#ports.clock.readMonotonicMs(),
+      forwarding,
       random: this.#ports.random,
       dialect: this.#dialect,
       isStopping: this.#readStopping,
--- a/packages/entry/src/ports/request_context.ts
+++ b/packages/entry/src/ports/request_context.ts
@@ -13,6 +13,10 @@
   readonly targetAtMs: number;
   /** Maximum number of backend servers to which the request is sent. */
   readonly maxAttempts: number;
+  /** Attempts of the VM that forwarded the request; none if absent. */
+  readonly attemptsBefore?: number;
+  /** True if that VM's retry budget counts the request already. */
+  readonly isCounted?: boolean;
 }
 
 /** A request that has been authenticated and matched to a route. */
--- a/packages/entry/src/ports/server_router.ts
+++ b/packages/entry/src/ports/server_router.ts
@@ -14,7 +14,10 @@
 
 /** A concurrency slot at a backend server, acquired for one attempt. */
 export interface Placement {
+  /** The backend server, or the VM that a request is forwarded to. */
   readonly server: BackendServer;
+  /** True if the request goes to another VM, which sends it to a server. */
+  readonly isForwarded?: boolean;
   /**
    * True for an attempt that may crash the server: a new connection proves that
    * the server was running when it was sent.
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -1,7 +1,6 @@
 /** Sends one request in one or more attempts: retries and a hedged request. */
 
 import type { ServerId } from "@limpetford/domain/ids";
-import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
 
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import type {
@@ -10,6 +9,8 @@
   PlacementRequest,
   PlacementVerdict,
 } from "../ports/server_router.ts";
+import { openAttemptConnection } from "./attempt_connection.ts";
+import { AttemptCounter } from "./attempt_counter.ts";
 import { openAttemptSpan } from "./attempt_span.ts";
 import {
   type AttemptFailure,
@@ -17,15 +18,15 @@
   BackendAttempt,
   type ResponseHead,
 } from "./backend_attempt.ts";
-import type { BackendConnectionPool } from "./backend_connection_pool.ts";
 import { BufferingReceiver } from "./buffering_receiver.ts";
 import {
+  buildRefusal,
   mapFailure,
   mergeCauses,
   type RefusalCause,
 } from "./failure_refusals.ts";
 import { LazySlotRequest, UNUSED_SAMPLE } from "./lazy_slot_request.ts";
-import { type Refusal, type RefusalKind, refuseNotRun } from "./refusal.ts";
+import type { RefusalKind } from "./refusal.ts";
 import {
   isReplayable,
   type OutboundRequest,
@@ -39,8 +40,6 @@
 } from "./running_attempts.ts";
 import type { ServingPorts } from "./serving_ports.ts";
 
-const DEFAULT_MAX_ATTEMPTS = 4;
-
 /**
  * Sends a request until one attempt gives the response or no further attempt is
  * allowed. The first accepted response wins; the other attempts are cancelled.
@@ -48,16 +47,16 @@
 export class AttemptSeries extends AttemptListener {
   readonly #ports: ServingPorts;
   readonly #dialect: ServingDialect;
-  readonly #connections: BackendConnectionPool;
+  readonly #dependencies: SeriesDependencies;
   readonly #request: OutboundRequest;
   readonly #receiver: ResponseReceiver;
   readonly #running = new RunningAttempts();
   readonly #tried: ServerId[] = [];
+  readonly #attempts: AttemptCounter;
   #abortController: AbortController | undefined;
   #fingerprint: string | undefined;
   #winner: BackendAttempt | undefined;
   #timer: NodeJS.Timeout | undefined;
-  #attemptCount = 0;
   #pendingPlacements = 0;
   #lastCause: RefusalCause | undefined;
   #hasHedged = false;
@@ -80,7 +79,8 @@
     super();
     this.#ports = dependencies.ports;
     this.#dialect = dependencies.dialect;
-    this.#connections = dependencies.connections;
+    this.#dependencies = dependencies;
+    this.#attempts = new AttemptCounter(request.context.terms);
     this.#request = request;
     const { bufferedResponseBytes } = dependencies.dialect;
     this.#receiver = bufferedResponseBytes > 0
@@ -149,7 +149,9 @@
     if (running === undefined) {
       return;
     }
-    const { outcome, isNotRun, notice } = this.#dialect.readResponse(head);
+    const { isForwarded } = running.placement;
+    const { outcome, isNotRun, notice, isFinal, retryAfterMs } = this.#dialect
+      .readResponse(head, isForwarded);
     if (notice !== undefined) {
       running.placement.observeNotice?.(notice);
     }
@@ -158,7 +160,10 @@
     if (!isNotRun) {
       this.#mayHaveRun = true;
     }
-    if (running.outcome !== "served") {
+    if (isNotRun && isForwarded === true) {
+      this.#attempts.recordUnsent();
+    }
+    if (running.outcome !== "served" && isFinal !== true) {
       const sample = attempt.measureSample(running.outcome);
       if (this.#mayAnotherFollow(attempt, { running, sample, isNotRun })) {
         running.isDiscarded = true;
@@ -168,7 +173,7 @@
     }
     if (isNotRun) {
       running.isDiscarded = true;
-      this.#refuse({ kind: "overloaded" });
+      this.#refuse({ kind: "overloaded", retryAfterMs });
       return;
     }
     this.#winner = attempt;
@@ -228,6 +233,8 @@
     }
     if (failure.mayHaveRun) {
       this.#mayHaveRun = true;
+    } else {
+      this.#attempts.recordUnsent();
     }
     this.#lastCause = mapFailure(failure);
     if (failure.isDispatchDenied) {
@@ -243,7 +250,7 @@
   async #acquireSlot(isHedge: boolean): Promise<void> {
     const request = new LazySlotRequest(this, this.#request.context, {
       tried: [...this.#tried],
-      attempt: this.#attemptCount + 1,
+      attempt: this.#attempts.started + 1,
       isHedge,
     });
     this.#pendingPlacements += 1;
@@ -269,24 +276,29 @@
       placement.complete(UNUSED_SAMPLE);
       return;
     }
-    this.#attemptCount += 1;
+    const isCounted = this.#attempts.started > 0;
+    const { sent } = this.#attempts;
+    this.#attempts.recordStart();
     this.#tried.push(placement.server.id);
     const span = openAttemptSpan(this.#ports, this.#request, placement);
     const attempt = new BackendAttempt(
       this.#dialect.buildAttempt(this.#request, {
-        number: this.#attemptCount,
+        number: this.#attempts.started,
         nowMs: this.#ports.clock.readMonotonicMs(),
         traceparent: span?.traceparent,
         server: placement.server.id,
+        ...placement.isForwarded === true
+          ? { forwarding: { attempts: sent, isCounted } }
+          : {},
       }),
-      placement.needsNewConnection === true
-        ? this.#connections.open(placement.server.address)
-        : this.#connections.acquire(placement.server.address),
+      openAttemptConnection(this.#dependencies, placement),
       { clock: this.#ports.clock, listener: this },
     );
     this.#running.add(attempt, { placement, request, span });
     attempt.start();
-    this.#scheduleHedge(request);
+    if (placement.isForwarded !== true) {
+      this.#scheduleHedge(request);
+    }
   }
 
   #scheduleHedge(request: PlacementRequest): void {
@@ -319,9 +331,7 @@
   #retry({ running, sample, isNotRun }: UnusedAttempt): boolean {
     const mayRetry = this.#request.isRetryable ||
       (isNotRun && !this.#mayHaveRun && isReplayable(this.#request));
-    const { terms } = this.#request.context;
-    const maxAttempts = terms?.maxAttempts ?? DEFAULT_MAX_ATTEMPTS;
-    if (!mayRetry || this.#attemptCount >= maxAttempts) {
+    if (!mayRetry || !this.#attempts.hasLeft()) {
       return false;
     }
     const verdict = this.#ports.router.planRetry({
@@ -354,14 +364,7 @@
       return;
     }
     this.#markFinished();
-    this.#receiver.receiveRefusal(this.#buildRefusal(cause));
-  }
-
-  #buildRefusal(cause: RefusalCause): Refusal {
-    const refusal = refuseNotRun(cause.kind, cause.retryAfterMs);
-    return this.#mayHaveRun
-      ? { ...refusal, outcome: REQUEST_OUTCOME.unknown }
-      : refusal;
+    this.#receiver.receiveRefusal(buildRefusal(cause, this.#mayHaveRun));
   }
 
   #abortAll(
@@ -379,7 +382,7 @@
     if (hadWinner) {
       this.#receiver.receiveCut();
     } else {
-      this.#receiver.receiveRefusal(this.#buildRefusal({ kind }));
+      this.#receiver.receiveRefusal(buildRefusal({ kind }, this.#mayHaveRun));
     }
   }
 
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -38,6 +38,7 @@
  * with a complete response.
  */
 export class BackendConnection {
+  readonly address: string;
   readonly client: Client;
   /** Undefined until the connection has been established. */
   socket: Socket | undefined;
@@ -52,13 +53,16 @@
   /**
    * Prepares a connection, which is opened by its first request.
    *
+   * @param address - address of the server
    * @param client - HTTP client that owns the socket
    * @param release - returns the connection to its pool
    */
   constructor(
+    address: string,
     client: Client,
     release: (connection: BackendConnection) => void,
   ) {
+    this.address = address;
     this.client = client;
     this.#release = release;
   }
@@ -131,7 +135,7 @@
 export class BackendConnectionPool {
   readonly #options: BackendConnectionOptions;
   readonly #idle = new Map<string, BackendConnection[]>();
-  readonly #open = new Set<Client>();
+  readonly #open = new Map<Client, BackendConnection>();
   readonly #noReuseUntilMs = new Map<string, number>();
   readonly #clock: Clock;
   #isClosed = false;
@@ -205,11 +209,40 @@
     }
   }
 
+  /**
+   * Gives up connects that are under way. Their requests have not been sent.
+   *
+   * @param addresses - addresses of the servers
+   */
+  abortConnecting(addresses: readonly SocketAddress[]): void {
+    const texts = new Set(addresses.map(formatAddress));
+    for (const connection of [...this.#open.values()]) {
+      if (texts.has(connection.address) && connection.socket === undefined) {
+        connection.abort();
+      }
+    }
+  }
+
+  /**
+   * Closes the idle connections to some servers.
+   *
+   * @param addresses - addresses of the servers
+   */
+  closeIdle(addresses: readonly SocketAddress[]): void {
+    for (const address of addresses.map(formatAddress)) {
+      const connections = this.#idle.get(address) ?? [];
+      this.#idle.delete(address);
+      connections.forEach((connection) => {
+        connection.abort();
+      });
+    }
+  }
+
   /** Destroys all connections; requests on them are aborted. */
   async close(): Promise<void> {
     this.#isClosed = true;
     this.#idle.clear();
-    await Promise.all([...this.#open].map((client) => client.destroy()));
+    await Promise.all([...this.#open.keys()].map((client) => client.destroy()));
   }
 
   #createConnection(address: string): BackendConnection {
@@ -235,10 +268,10 @@
       bodyTimeout: 0,
       maxHeaderSize: this.#options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
     });
-    this.#open.add(client);
-    const connection = new BackendConnection(client, (released) => {
+    const connection = new BackendConnection(address, client, (released) => {
       this.#keepIdle(address, released);
     });
+    this.#open.set(client, connection);
     client.on("disconnect", () => {
       this.#drop(address, connection);
     });
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -5,7 +5,12 @@
 
 import type { RandomSource } from "@limpetford/core/time/random_source";
 import type { RequestId } from "@limpetford/domain/ids";
+import { FORWARDED_HEADER } from "@limpetford/peer/fleet_calls";
 
+import {
+  FORWARDED_RESULT,
+  type ForwardingTerms,
+} from "../dialect/forwarding_headers.ts";
 import { HEADER } from "../dialect/header_names.ts";
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import type { ReplayableResponse } from "../ports/idempotency_ledger.ts";
@@ -17,6 +22,8 @@
   readonly id: RequestId;
   /** Monotonic time, in milliseconds. */
   readonly receivedAtMs: number;
+  /** Set if another VM has forwarded the request to this one. */
+  readonly forwarding?: ForwardingTerms | undefined;
   readonly random: RandomSource;
   readonly dialect: ServingDialect;
   /** Returns true if the connection is to be closed after the response. */
@@ -35,6 +42,7 @@
   readonly writer: ResponseWriter;
   readonly id: RequestId;
   readonly receivedAtMs: number;
+  readonly forwarding: ForwardingTerms | undefined;
   readonly #options: ExchangeOptions;
   #disconnectListener: (() => void) | undefined;
   #isCallerDisconnected = false;
@@ -58,6 +66,7 @@
     this.writer = new ResponseWriter(response);
     this.id = options.id;
     this.receivedAtMs = options.receivedAtMs;
+    this.forwarding = options.forwarding;
     this.#options = options;
     const { socket } = request;
     response.on("close", () => {
@@ -105,6 +114,7 @@
     this.#options.dialect.sendRefusal(this.response, refusal, {
       requestId: this.id,
       isLastOnConnection: isBodyUnread || this.#options.isStopping(),
+      isForwarded: this.forwarding !== undefined,
       random: this.#options.random,
     });
   }
@@ -138,6 +148,9 @@
    */
   beginResponse(status: number, headers: string[], isFramed = true): void {
     headers.push(...this.#options.dialect.listResponseHeaders(this.id));
+    if (this.forwarding !== undefined) {
+      headers.push(FORWARDED_HEADER, FORWARDED_RESULT.answered);
+    }
     if (!isFramed) {
       this.response.useChunkedEncodingByDefault = false;
     }
--- a/packages/entry/src/serving/claimed_request_handler.ts
+++ b/packages/entry/src/serving/claimed_request_handler.ts
@@ -169,6 +169,7 @@
           ports: this.#ports,
           dialect: this.#options.dialect,
           connections: this.#options.connections.backend,
+          peerConnections: this.#options.connections.peer,
         },
         {
           ...buildOutboundRequest(admitted, body, this.#options.dialect),
--- a/packages/entry/src/serving/failure_refusals.ts
+++ b/packages/entry/src/serving/failure_refusals.ts
@@ -1,12 +1,14 @@
 /** Maps failed attempts to the refusals that callers get. */
 
+import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
+
 import type { AttemptFailure } from "./backend_attempt.ts";
-import type { RefusalKind } from "./refusal.ts";
+import { type Refusal, type RefusalKind, refuseNotRun } from "./refusal.ts";
 
 /** Reason of a refusal, without the outcome of the request. */
 export interface RefusalCause {
   readonly kind: RefusalKind;
-  readonly retryAfterMs?: number;
+  readonly retryAfterMs?: number | undefined;
 }
 
 /**
@@ -55,3 +57,20 @@
     ? { ...last, retryAfterMs: refusal.retryAfterMs }
     : last;
 }
+
+/**
+ * Builds the refusal of a request after its last attempt.
+ *
+ * @param cause - why there is no response
+ * @param mayHaveRun - true if a backend server may have run the request
+ * @returns refusal with the outcome that is certain
+ */
+export function buildRefusal(
+  cause: RefusalCause,
+  mayHaveRun: boolean,
+): Refusal {
+  const refusal = refuseNotRun(cause.kind, cause.retryAfterMs);
+  return mayHaveRun
+    ? { ...refusal, outcome: REQUEST_OUTCOME.unknown }
+    : refusal;
+}
--- a/packages/entry/src/serving/request_admission.ts
+++ b/packages/entry/src/serving/request_admission.ts
@@ -7,6 +7,7 @@
 import { makeError, makeOk, type Result } from "@limpetford/domain/result";
 import { type Route, ROUTE_ACCESS } from "@limpetford/domain/route";
 
+import type { ForwardingTerms } from "../dialect/forwarding_headers.ts";
 import { HEADER } from "../dialect/header_names.ts";
 import type { ConfigurationSource } from "../ports/configuration_source.ts";
 import type { RequestContext } from "../ports/request_context.ts";
@@ -32,6 +33,8 @@
   readonly id: RequestId;
   /** Monotonic time, in milliseconds. */
   readonly receivedAtMs: number;
+  /** Set if another VM has forwarded the request to this one. */
+  readonly forwarding?: ForwardingTerms | undefined;
 }
 
 /**
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -57,6 +57,7 @@
   readonly #ports: ServingPorts;
   readonly #dialect: ServingDialect;
   readonly #connections: BackendConnectionPool;
+  readonly #peerConnections: BackendConnectionPool;
   readonly #claimedHandler: ClaimedRequestHandler;
   readonly #bodyBudget: BodyBudget;
   readonly #streamAboveBytes: number;
@@ -85,6 +86,7 @@
     this.#ports = ports;
     this.#dialect = dialect;
     this.#connections = connections.backend;
+    this.#peerConnections = connections.peer;
     this.#bodyBudget = new BodyBudget(
       options.bodyBudgetBytes ?? DEFAULT_BODY_BUDGET_BYTES,
     );
@@ -188,7 +190,8 @@
   async #serveUnclaimed(admitted: AdmittedExchange): Promise<void> {
     const { context, exchange } = admitted;
     this.#ports.decisions?.recordAdmitted(context);
-    if (context.team !== undefined) {
+    // The VM that forwarded a request has taken its token.
+    if (context.team !== undefined && !context.isPassedOn) {
       const verdict = await this.#ports.rateLimiter.acquire(
         context.team,
         context,
@@ -261,6 +264,7 @@
           ports: this.#ports,
           dialect: this.#dialect,
           connections: this.#connections,
+          peerConnections: this.#peerConnections,
         },
         request,
         receiver,
--- a/packages/entry/src/serving/response_receiver.ts
+++ b/packages/entry/src/serving/response_receiver.ts
@@ -65,6 +65,8 @@
   readonly ports: ServingPorts;
   readonly dialect: ServingDialect;
   readonly connections: BackendConnectionPool;
+  /** Connections to the VMs that requests are forwarded to. */
+  readonly peerConnections: BackendConnectionPool;
 }
 
 /**
--- a/packages/peer/src/fleet_calls.ts
+++ b/packages/peer/src/fleet_calls.ts
@@ -41,6 +41,10 @@
 const STATUS_NOT_FOUND = 404;
 const CONNECT_TIMEOUT_MS = 250;
 const IDLE_TIMEOUT_MS = 10_000;
+/** Headers of a caller's request, and what a VM adds to forward it. */
+const MAX_HEADER_BYTES = 73_728;
+/** Header of a caller's request that another VM forwards. */
+export const FORWARDED_HEADER = "limpetford-forwarded";
 /** Longer than the client's idle timeout, so that the client closes first. */
 const SERVER_IDLE_TIMEOUT_MS = 15_000;
 
@@ -226,8 +230,16 @@
   constructor(handlers: FleetSyncHandlers) {
     this.#handlers = handlers;
     this.#server = http.createServer(
-      { keepAliveTimeout: SERVER_IDLE_TIMEOUT_MS, requireHostHeader: false },
+      {
+        keepAliveTimeout: SERVER_IDLE_TIMEOUT_MS,
+        maxHeaderSize: MAX_HEADER_BYTES,
+        requireHostHeader: false,
+      },
       (request, response) => {
+        if (request.headers[FORWARDED_HEADER] !== undefined) {
+          this.#handlers.handleForwarded(request, response);
+          return;
+        }
         void this.#handleCall(request, response);
       },
     );
--- a/packages/peer/src/fleet_calls_test.ts
+++ b/packages/peer/src/fleet_calls_test.ts
@@ -59,6 +59,7 @@
       }),
       handleServerTokenRequest: unexpected,
       handleServerLimitReport: unexpected,
+      handleForwarded: unexpected,
     });
     await server.bind(to);
     stopServer = () => {
--- a/packages/peer/src/fleet_sync.ts
+++ b/packages/peer/src/fleet_sync.ts
@@ -1,5 +1,7 @@
 /** Messages through which the VMs of a fleet synchronize their state. */
 
+import type { RequestListener } from "node:http";
+
 import type { LogPosition } from "@limpetford/core/fleet/log_position";
 import type { ServerChanges } from "@limpetford/core/fleet/server_changes";
 import type { SuspicionStatus } from "@limpetford/core/quarantine/suspicion";
@@ -250,4 +252,6 @@
   ) => ServerTokenReply;
   /** Applies what a response says of its server's rate limit. */
   readonly handleServerLimitReport: (report: ServerLimitReport) => void;
+  /** Serves a request of a caller that another VM forwards. */
+  readonly handleForwarded: RequestListener;
 }
--- a/packages/platform/src/store/http_headers.ts
+++ b/packages/platform/src/store/http_headers.ts
@@ -46,8 +46,11 @@
   readonly requestId: string;
   /** Time until the request's deadline, in milliseconds. */
   readonly timeLeftMs: number;
-  /** Identifier of the target server; any other server refuses the request. */
-  readonly server: string;
+  /**
+   * Identifier of the target server; any other server refuses the request.
+   * Undefined if another VM chooses the server.
+   */
+  readonly server: string | undefined;
   /** The caller's team; undefined on a public route. */
   readonly team: string | undefined;
 }
@@ -108,9 +111,10 @@
     values.requestId,
     WIRE_HEADER.timeLeftMs,
     String(Math.max(1, Math.floor(values.timeLeftMs))),
-    WIRE_HEADER.expectedServer,
-    values.server,
   ];
+  if (values.server !== undefined) {
+    headers.push(WIRE_HEADER.expectedServer, values.server);
+  }
   if (values.team !== undefined) {
     headers.push(WIRE_HEADER.team, values.team);
   }
@@ -149,6 +153,16 @@
   return [WIRE_HEADER.retryAfter, (retryAfterMs / MS_PER_S).toFixed(3)];
 }
 
+/**
+ * Parses the `retry-after` header of a response.
+ *
+ * @param headers - headers of the response
+ * @returns milliseconds; undefined if it is absent or not a number of seconds
+ */
+export function parseRetryAfterMs(headers: HeaderTable): number | undefined {
+  return parsePauseMs(headers[WIRE_HEADER.retryAfter]);
+}
+
 function parseNotice(status: number, headers: HeaderTable): ServerNotice {
   return {
     rateLimit: parseRateLimit(headers[WIRE_HEADER.serverLimit]),
