fix: a request waits for the verdict while the links of its VM are in doubt

Callers saw: a request at a VM that had just lost its links was tried at six servers in 10 ms and refused, 3 ms before the VM knew; bookings went out over dead connections. A connect that failed took a retry token, though no server had got the request.

Cause: the check of the links ran beside the requests, on a timer; who was told once that a VM had an older configuration was passed over as a target for good.

Change: while there is a suspicion, requests wait for the round of connects (the time of one connect if any server accepts, 250 ms at most); a round ends with the first accepted connection, and there is one at a time for a service; a VM's configuration counts for a second after its message.

--- a/packages/core/src/reach/vm_reach_table_test.ts
+++ b/packages/core/src/reach/vm_reach_table_test.ts
@@ -1,12 +1,24 @@
 import { type ServiceId, toId, type VmId } from "@limpetford/domain/ids";
 
-import { REACH, type VmReachReport, VmReachTable } from "./vm_reach_table.ts";
+import {
+  REACH,
+  type Reach,
+  type VmReachReport,
+  VmReachTable,
+} from "./vm_reach_table.ts";
 
 const VM = toId<VmId>("vm-1");
 const SERVICE = toId<ServiceId>("s");
 const OTHER = toId<ServiceId>("t");
 const NOW_MS = 10_000;
 
+interface ExpectedReach {
+  /** For all services. */
+  readonly all: Reach;
+  /** For the one service. */
+  readonly service: Reach;
+}
+
 function buildReport(changes: Partial<VmReachReport> = {}): VmReachReport {
   return {
     lostServices: [],
@@ -17,47 +29,45 @@
 }
 
 describe("VmReachTable", () => {
-  it.each<[string, VmReachReport | undefined, string, string]>([
-    ["no report", undefined, REACH.unknown, REACH.unknown],
-    ["all reached", buildReport(), REACH.confirmed, REACH.confirmed],
+  it.each<[string, VmReachReport | undefined, ExpectedReach]>([
+    ["no report", undefined, { all: REACH.unknown, service: REACH.unknown }],
+    ["all reached", buildReport(), {
+      all: REACH.confirmed,
+      service: REACH.confirmed,
+    }],
     [
       "reached too long ago",
       buildReport({ reachedAtMs: NOW_MS - 3_001 }),
-      REACH.unknown,
-      REACH.unknown,
+      { all: REACH.unknown, service: REACH.unknown },
     ],
     [
       "never reached",
       buildReport({ reachedAtMs: -Infinity }),
-      REACH.unknown,
-      REACH.unknown,
+      { all: REACH.unknown, service: REACH.unknown },
     ],
     [
       "another service lost",
       buildReport({ lostServices: [OTHER] }),
-      REACH.lost,
-      REACH.confirmed,
+      { all: REACH.lost, service: REACH.confirmed },
     ],
     [
       "the service lost",
       buildReport({ lostServices: [SERVICE] }),
-      REACH.lost,
-      REACH.lost,
+      { all: REACH.lost, service: REACH.lost },
     ],
     [
       "an outdated report",
       buildReport({ lostServices: [SERVICE], knownAtMs: NOW_MS - 3_001 }),
-      REACH.unknown,
-      REACH.unknown,
+      { all: REACH.unknown, service: REACH.unknown },
     ],
-  ])("finds %s", (_name, report, expected, expectedForService) => {
+  ])("finds %s", (_name, report, expected) => {
     const table = new VmReachTable();
     if (report !== undefined) {
       table.record(VM, report);
     }
-    expect(table.find(VM, NOW_MS)).toBe(expected);
-    expect(table.findForService(VM, SERVICE, NOW_MS)).toBe(expectedForService);
-    expect(table.hasLost(NOW_MS)).toBe(expected === REACH.lost);
+    expect(table.find(VM, NOW_MS)).toBe(expected.all);
+    expect(table.findForService(VM, SERVICE, NOW_MS)).toBe(expected.service);
+    expect(table.hasLost(NOW_MS)).toBe(expected.all === REACH.lost);
   });
 
   it("keeps the later of two reports, whichever comes last", () => {
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -15,7 +15,7 @@
   ServerRouter,
 } from "../ports/server_router.ts";
 import type { CrashGuard } from "./crash_guard.ts";
-import { buildDemand } from "./demand_builder.ts";
+import { buildDemand, readServiceId } from "./demand_builder.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetState } from "./fleet_state.ts";
 import { PlacementLog } from "./placement_log.ts";
@@ -118,7 +118,11 @@
     if (request.isHedge && !service.takeRetry()) {
       return { kind: "overloaded", retryAfterMs: 0 };
     }
-    const { guard, forwarder } = this.#options;
+    const { guard, forwarder, reach } = this.#options;
+    if (service.reach.isInDoubt && !service.reach.isUnreachable) {
+      // What is sent over dead links may be lost for good.
+      await reach.verifyService(readServiceId(request));
+    }
     const forwarded = forwarder.forward(request);
     if (forwarded !== undefined) {
       return { kind: "placed", placement: forwarded };
@@ -153,7 +157,9 @@
 
   override planRetry(attempt: FailedAttempt): RetryVerdict {
     const service = this.#options.balancers.find(attempt.request);
-    return service?.takeRetry() === true
+    // No server has got a request whose connection could not be made.
+    return attempt.sample.outcome === "connect-failed" ||
+        service?.takeRetry() === true
       ? { kind: "retry", delayMs: 0 }
       : { kind: "give-up" };
   }
--- a/packages/entry/src/fleet/request_forwarder.ts
+++ b/packages/entry/src/fleet/request_forwarder.ts
@@ -19,6 +19,9 @@
 import type { ServiceBalancers } from "./service_balancers.ts";
 import type { ZoneTraffic } from "./zone_traffic.ts";
 
+/** Time for which a VM's last message tells its configuration. */
+const HEARD_VALID_MS = 1_000;
+
 /** Dependencies of a {@link RequestForwarder}. */
 export interface RequestForwarderOptions {
   readonly self: Vm;
@@ -92,12 +95,14 @@
     return chooseForwardTarget(candidates, { zone: self.zone, random })?.vm;
   }
 
-  // A VM with an older configuration would refuse the request.
+  // A VM with an older configuration would refuse the request. What one said a
+  // while ago shows nothing.
   #hasConfiguration(vm: Vm): boolean {
-    const { peers, state } = this.#options;
-    const { configurationVersion } = peers.getPeer(vm);
+    const { peers, state, clock } = this.#options;
+    const { configurationVersion, heardAtMs } = peers.getPeer(vm);
     const own = state.active?.configuration.version ?? 0;
-    return configurationVersion === undefined || configurationVersion >= own;
+    return configurationVersion === undefined || configurationVersion >= own ||
+      clock.readMonotonicMs() - heardAtMs > HEARD_VALID_MS;
   }
 
   #buildPlacement(
--- a/packages/entry/src/fleet/server_reach_monitor.ts
+++ b/packages/entry/src/fleet/server_reach_monitor.ts
@@ -38,6 +38,8 @@
  */
 export class ServerReachMonitor {
   readonly #options: ServerReachMonitorOptions;
+  /** Rounds under way. */
+  readonly #rounds = new Map<ServiceId, Promise<void>>();
   #timer: NodeJS.Timeout | undefined;
   #isStopped = false;
 
@@ -77,16 +79,27 @@
    * @returns false if no server of its service can be reached
    */
   async verifyLinks(server: ServerId): Promise<boolean> {
-    const { balancers } = this.#options;
-    const service = balancers.findServiceOf(server);
-    const balancer = service && balancers.findService(service);
-    if (service === undefined || balancer === undefined) {
+    const service = this.#options.balancers.findServiceOf(server);
+    return service === undefined || await this.verifyService(service);
+  }
+
+  /**
+   * Waits for the result of connects to servers of a service if there is a
+   * suspicion.
+   *
+   * @param service - the service
+   * @returns false if none of its servers can be reached
+   */
+  async verifyService(service: ServiceId): Promise<boolean> {
+    const balancer = this.#options.balancers.findService(service);
+    if (balancer === undefined) {
       return true;
     }
-    if (balancer.reach.isInDoubt && !balancer.reach.isUnreachable) {
+    const { reach } = balancer;
+    if (reach.isInDoubt && !reach.isUnreachable) {
       await this.#runRound(service, balancer);
     }
-    return !balancer.reach.isUnreachable;
+    return !reach.isUnreachable;
   }
 
   /**
@@ -95,11 +108,9 @@
    * @returns resolves once the results are known
    */
   async verify(): Promise<void> {
-    const nowMs = this.#options.clock.readMonotonicMs();
     const services = this.#options.balancers.listByService()
       .slice(0, MAX_VERIFIED_SERVICES);
     await Promise.all(services.map(async ([service, balancer]) => {
-      balancer.reach.beginRound(nowMs);
       await this.#runRound(service, balancer);
     }));
   }
@@ -114,7 +125,6 @@
         .map(({ announced }) => announced.id);
       reach.recordOverdue(overdue, nowMs);
       if (reach.shouldProbe(servers.length, nowMs)) {
-        reach.beginRound(nowMs);
         void this.#runRound(service, balancer);
       }
       isNeeded ||= reach.isUnreachable || reach.isInDoubt ||
@@ -124,17 +134,22 @@
   }
 
   async #runRound(service: ServiceId, balancer: Balancer): Promise<void> {
-    const { probe, clock, log } = this.#options;
+    const running = this.#rounds.get(service) ??
+      this.#connect(service, balancer);
+    this.#rounds.set(service, running);
+    await running;
+    this.#rounds.delete(service);
+  }
+
+  async #connect(service: ServiceId, balancer: Balancer): Promise<void> {
+    const { clock, log } = this.#options;
     const { reach } = balancer;
+    reach.beginRound(clock.readMonotonicMs());
     const startedAtMs = clock.readMonotonicMs();
     const silentMs = Math.round(
       Math.min(startedAtMs - reach.reachedAtMs, startedAtMs),
     );
-    const results = await Promise.all(
-      this.#pickServers(balancer).map(({ announced }) =>
-        probe.probe(announced.address)
-      ),
-    );
+    const results = await this.#connectToSome(balancer);
     const accepted = countResults(results, "accepted");
     if (!reach.isUnreachable) {
       log.record("servers-suspected", {
@@ -165,6 +180,26 @@
     );
   }
 
+  // Resolves with the first connection that is accepted, or with all results.
+  #connectToSome(balancer: Balancer): Promise<readonly ConnectResult[]> {
+    const { probe } = this.#options;
+    const servers = this.#pickServers(balancer);
+    const results: ConnectResult[] = [];
+    return new Promise((resolve) => {
+      if (servers.length === 0) {
+        resolve([]);
+      }
+      for (const { announced } of servers) {
+        void probe.probe(announced.address).then((result) => {
+          results.push(result);
+          if (result === "accepted" || results.length === servers.length) {
+            resolve([...results]);
+          }
+        });
+      }
+    });
+  }
+
   #logChange(
     service: ServiceId,
     change: Exclude<ReachChange, "none">,
