fix: VMs without links connect to servers ever more seldom

Cause: each VM without links connected to five servers of each service every 300 ms, also those without callers; 40 VMs would make over 1,000 connects a second while all servers are down.

Change: the pause doubles from 0.3 to 1.2 s; an answer over a new connection makes the next check due at once, so that servers which return to all are in use as before.

--- a/packages/core/src/reach/service_reach.ts
+++ b/packages/core/src/reach/service_reach.ts
@@ -10,8 +10,9 @@
 const SILENT_MS = 250;
 /** Time between two rounds of connects while a suspicion lasts. */
 const RECHECK_INTERVAL_MS = 500;
-/** The same while no server is reachable. */
-const RECOVERY_INTERVAL_MS = 300;
+/** The same while no server is reachable; doubled after each round. */
+const MIN_RECOVERY_INTERVAL_MS = 300;
+const MAX_RECOVERY_INTERVAL_MS = 1_200;
 /** Rounds in a row with a connection after which servers count as reachable. */
 const RECOVERY_ROUNDS = 2;
 
@@ -39,6 +40,7 @@
   #reachedAtMs = -Infinity;
   #nextRoundAtMs = -Infinity;
   #recoveryRounds = 0;
+  #recoveryIntervalMs = MIN_RECOVERY_INTERVAL_MS;
   #lostAtMs: number | undefined;
 
   /**
@@ -146,8 +148,15 @@
    * @param nowMs - monotonic time
    */
   beginRound(nowMs: number): void {
-    this.#nextRoundAtMs = nowMs +
-      (this.isUnreachable ? RECOVERY_INTERVAL_MS : RECHECK_INTERVAL_MS);
+    if (!this.isUnreachable) {
+      this.#nextRoundAtMs = nowMs + RECHECK_INTERVAL_MS;
+      return;
+    }
+    this.#nextRoundAtMs = nowMs + this.#recoveryIntervalMs;
+    this.#recoveryIntervalMs = Math.min(
+      MAX_RECOVERY_INTERVAL_MS,
+      this.#recoveryIntervalMs * 2,
+    );
   }
 
   /**
@@ -160,23 +169,27 @@
   recordRound({ accepted, failed }: ConnectRound, nowMs: number): ReachChange {
     if (accepted > 0) {
       this.#reachedAtMs = nowMs;
-      return this.#recordAccepted();
+      return this.#recordAccepted(nowMs);
     }
     this.#recoveryRounds = 0;
     if (failed === 0 || this.isUnreachable) {
       return "none";
     }
     this.#lostAtMs = nowMs;
+    this.#recoveryIntervalMs = MIN_RECOVERY_INTERVAL_MS;
+    this.#nextRoundAtMs = nowMs + MIN_RECOVERY_INTERVAL_MS;
     return "lost";
   }
 
-  #recordAccepted(): ReachChange {
+  #recordAccepted(nowMs: number): ReachChange {
     if (!this.isUnreachable) {
       this.#clearSuspicion();
       return "none";
     }
     this.#recoveryRounds += 1;
     if (this.#recoveryRounds < RECOVERY_ROUNDS) {
+      this.#recoveryIntervalMs = MIN_RECOVERY_INTERVAL_MS;
+      this.#nextRoundAtMs = nowMs + MIN_RECOVERY_INTERVAL_MS;
       return "none";
     }
     this.#lostAtMs = undefined;
@@ -192,6 +205,16 @@
     this.#silent.clear();
     if (!wasConnectionReused) {
       this.#unconnected.clear();
+      this.#recordNewConnection(nowMs);
+    }
+  }
+
+  // A request that was answered over a new connection counts like a round, and the
+  // next one is due.
+  #recordNewConnection(nowMs: number): void {
+    if (this.isUnreachable) {
+      this.#recoveryRounds = RECOVERY_ROUNDS - 1;
+      this.#nextRoundAtMs = nowMs;
     }
   }
 
--- a/packages/core/src/reach/service_reach_test.ts
+++ b/packages/core/src/reach/service_reach_test.ts
@@ -100,6 +100,32 @@
     expect(reach.isInDoubt).toBe(false);
   });
 
+  it("is regained soon after an answer over a new connection", () => {
+    const reach = new ServiceReach();
+    reach.recordRound({ accepted: 0, failed: 5 }, 1_000);
+    reach.recordAttempt(A, buildSample("served", { isReused: true }), 1_100);
+    expect(reach.shouldProbe(SERVERS, 1_100)).toBe(false);
+    reach.recordAttempt(A, buildSample("served", { isReused: false }), 1_100);
+    expect(reach.shouldProbe(SERVERS, 1_100)).toBe(true);
+    reach.beginRound(1_100);
+    expect(reach.recordRound({ accepted: 1, failed: 0 }, 1_101))
+      .toBe("regained");
+  });
+
+  it("connects more and more seldom while the servers stay unreachable", () => {
+    const reach = new ServiceReach();
+    const roundsAtMs: number[] = [];
+    reach.recordRound({ accepted: 0, failed: 5 }, 0);
+    for (let nowMs = 0; nowMs < 6_000; nowMs += 50) {
+      if (reach.shouldProbe(SERVERS, nowMs)) {
+        roundsAtMs.push(nowMs);
+        reach.beginRound(nowMs);
+        reach.recordRound({ accepted: 0, failed: 5 }, nowMs);
+      }
+    }
+    expect(roundsAtMs).toEqual([300, 600, 1_200, 2_400, 3_600, 4_800]);
+  });
+
   it("leaves a pause between two rounds", () => {
     const reach = new ServiceReach();
     reach.recordRound({ accepted: 0, failed: 5 }, 1_000);
