--- a/packages/standins/src/process_soak/fault_injector.ts
+++ b/packages/standins/src/process_soak/fault_injector.ts
@@ -4,7 +4,10 @@
   type FleetProcesses,
   GRACE_PERIOD_SECONDS,
 } from "../fleet/fleet_processes.ts";
-import type { VmProcessHandle } from "../fleet/vm_process_handle.ts";
+import {
+  SERVER_LINK_FAULT,
+  type VmProcessHandle,
+} from "../fleet/vm_process_handle.ts";
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
 import { STORE_FAULT } from "../platform/store_standin.ts";
 import { LINK_FAULT } from "../platform/tcp_fault_proxy.ts";
@@ -77,6 +80,13 @@
       case "store-link":
         storeLinks[fault.vm]?.setFault(fault.fault);
         return () => storeLinks[fault.vm]?.setFault(LINK_FAULT.none);
+      case "vm-links": {
+        const cut = fault.vms.flatMap((index) => vms[index] ?? []);
+        this.#fleet.setServerLinkFault(cut, fault.fault);
+        return () => {
+          this.#fleet.setServerLinkFault(cut, SERVER_LINK_FAULT.none);
+        };
+      }
       case "server":
       case "server-link":
       case "server-leaves":
--- a/packages/standins/src/process_soak/process_fault.ts
+++ b/packages/standins/src/process_soak/process_fault.ts
@@ -2,6 +2,10 @@
 
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 
+import {
+  SERVER_LINK_FAULT,
+  type ServerLinkFault,
+} from "../fleet/vm_process_handle.ts";
 import {
   SERVER_BEHAVIOR,
   type ServerBehavior,
@@ -34,6 +38,12 @@
     readonly server: number;
     readonly fault: LinkFault;
   }
+  /** Some VMs reach no backend server. */
+  | {
+    readonly kind: "vm-links";
+    readonly vms: readonly number[];
+    readonly fault: ServerLinkFault;
+  }
   | { readonly kind: "server-leaves"; readonly server: number }
   | { readonly kind: "server-crash"; readonly server: number }
   /** Its answers say that it is leaving, until it starts again. */
@@ -108,6 +118,11 @@
       server,
       fault: pickValue(random, LINK_FAULT),
     }),
+    () => ({
+      kind: "vm-links",
+      vms: pickVms(random, size.vms),
+      fault: pickValue(random, SERVER_LINK_FAULT),
+    }),
     () => ({ kind: "server-leaves", server }),
     () => ({ kind: "server-crash", server }),
     () => ({ kind: "server-says-leaving", server }),
@@ -119,6 +134,17 @@
   return generate === undefined ? { kind: "power-loss" } : generate();
 }
 
+function pickVms(
+  random: SeededRandomSource,
+  count: number,
+): readonly number[] {
+  const first = random.pickIndex(count);
+  return Array.from(
+    { length: 1 + random.pickIndex(count) },
+    (_, offset) => (first + offset) % count,
+  );
+}
+
 function pickValue<Value>(
   random: SeededRandomSource,
   values: Readonly<Record<string, Value>>,
