fix: what began before the links were back is not held against the servers

Cause: requests that hang on dead connections time out seconds after the links are back, and then counted against sound servers; a VM's own word that it has lost a service was passed over if an older report by way of another VM seemed newer. Found by reading.

Change: an attempt that began before the links were back blames the link alone; a VM's own report replaces what others told of it.

Evidence: service_reach_test and vm_reach_table_test, one case each, which the code before fails by its interface. A service without servers is no longer checked for ever.

--- a/packages/core/src/placement/outcome_recorder.ts
+++ b/packages/core/src/placement/outcome_recorder.ts
@@ -64,12 +64,12 @@
         break;
       case "connect-failed":
       case "reset-before-first-byte":
-        this.#recordLinkFailure(server, nowMs);
+        this.#recordLinkFailure(slot, nowMs);
         break;
       case "timed-out":
       case "cancelled":
         if (sample.totalMs > running.expectedMs * HUNG_FACTOR) {
-          this.#recordLinkFailure(server, nowMs);
+          this.#recordLinkFailure(slot, nowMs);
         }
         break;
     }
@@ -101,9 +101,9 @@
 
   // The server is not to blame, here or elsewhere, for links of this VM that may
   // have failed to all servers.
-  #recordLinkFailure(server: TrackedServer, nowMs: number): void {
+  #recordLinkFailure({ server, running }: TakenSlot, nowMs: number): void {
     server.recordLinkFailure(nowMs);
-    if (!this.#options.reach.isInDoubt) {
+    if (this.#options.reach.mayBlameServer(running.startedAtMs)) {
       this.#recordEvidence(server, EVIDENCE.failure, nowMs);
     }
   }
--- a/packages/core/src/reach/service_reach.ts
+++ b/packages/core/src/reach/service_reach.ts
@@ -42,6 +42,7 @@
   #recoveryRounds = 0;
   #recoveryIntervalMs = MIN_RECOVERY_INTERVAL_MS;
   #lostAtMs: number | undefined;
+  #regainedAtMs = -Infinity;
 
   /**
    * Whether no server of the service can be reached.
@@ -81,6 +82,16 @@
       this.#unconnected.size >= SUSPECT_SERVERS;
   }
 
+  /**
+   * Checks whether the server may be blamed for an attempt that failed on the way.
+   *
+   * @param startedAtMs - monotonic time at which the attempt began
+   * @returns false if this VM may have lost all servers since then
+   */
+  mayBlameServer(startedAtMs: number): boolean {
+    return !this.isInDoubt && startedAtMs >= this.#regainedAtMs;
+  }
+
   /**
    * Checks whether attempts at a server failed on the way since the last answer.
    *
@@ -193,6 +204,7 @@
       return "none";
     }
     this.#lostAtMs = undefined;
+    this.#regainedAtMs = nowMs;
     this.#recoveryRounds = 0;
     this.#clearSuspicion();
     return "regained";
--- a/packages/core/src/reach/service_reach_test.ts
+++ b/packages/core/src/reach/service_reach_test.ts
@@ -126,6 +126,17 @@
     expect(roundsAtMs).toEqual([300, 600, 1_200, 2_400, 3_600, 4_800]);
   });
 
+  it("blames no server for what began before the links were back", () => {
+    const reach = new ServiceReach();
+    expect(reach.mayBlameServer(900)).toBe(true);
+    reach.recordRound({ accepted: 0, failed: 5 }, 1_000);
+    expect(reach.mayBlameServer(1_100)).toBe(false);
+    reach.recordRound({ accepted: 1, failed: 0 }, 2_000);
+    reach.recordRound({ accepted: 1, failed: 0 }, 2_300);
+    expect(reach.mayBlameServer(1_100)).toBe(false);
+    expect(reach.mayBlameServer(2_300)).toBe(true);
+  });
+
   it("leaves a pause between two rounds", () => {
     const reach = new ServiceReach();
     reach.recordRound({ accepted: 0, failed: 5 }, 1_000);
--- a/packages/core/src/reach/vm_reach_table.ts
+++ b/packages/core/src/reach/vm_reach_table.ts
@@ -45,6 +45,21 @@
     }
   }
 
+  /**
+   * Replaces a VM's report by what the VM itself says. Its date is only known to
+   * be no earlier, so it may seem older than one that came by another VM.
+   *
+   * @param vm - the VM
+   * @param report - what it says
+   */
+  update(vm: VmId, report: VmReachReport): void {
+    const knownAtMs = Math.max(
+      report.knownAtMs,
+      this.#reports.get(vm)?.knownAtMs ?? -Infinity,
+    );
+    this.#reports.set(vm, { ...report, knownAtMs });
+  }
+
   /**
    * Lists the reports that still count.
    *
--- a/packages/core/src/reach/vm_reach_table_test.ts
+++ b/packages/core/src/reach/vm_reach_table_test.ts
@@ -70,6 +70,16 @@
     expect(table.hasLost(NOW_MS)).toBe(expected.all === REACH.lost);
   });
 
+  it("believes the VM itself, though its report seems older", () => {
+    const table = new VmReachTable();
+    table.record(VM, buildReport());
+    table.update(
+      VM,
+      buildReport({ lostServices: [SERVICE], knownAtMs: NOW_MS - 400 }),
+    );
+    expect(table.find(VM, NOW_MS)).toBe(REACH.lost);
+  });
+
   it("keeps the later of two reports, whichever comes last", () => {
     const table = new VmReachTable();
     table.record(VM, buildReport({ lostServices: [SERVICE] }));
--- a/packages/entry/src/dialect/forwarded_messages.ts
+++ b/packages/entry/src/dialect/forwarded_messages.ts
@@ -15,7 +15,8 @@
   ResponseClassification,
 } from "./serving_dialect.ts";
 
-const FIRST_FAILED_STATUS = 500;
+/** Statuses from here on mean that a request was not served. */
+export const FIRST_FAILED_STATUS = 500;
 
 /**
  * Builds what a request carries for the VM that it is forwarded to.
--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -31,6 +31,7 @@
 import type { OutboundRequest } from "../serving/response_receiver.ts";
 import {
   buildForwardedHeaders,
+  FIRST_FAILED_STATUS,
   readForwardedResponse,
 } from "./forwarded_messages.ts";
 import {
@@ -48,7 +49,6 @@
 
 /** Responses up to this size are buffered whole before they are forwarded. */
 const BUFFERED_RESPONSE_BYTES = 65_536;
-const FIRST_FAILED_STATUS = 500;
 const STATUS_BAD_GATEWAY = 502;
 /** Statuses that guarantee that the request did not run and never will. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
--- a/packages/entry/src/fleet/fleet_reach.ts
+++ b/packages/entry/src/fleet/fleet_reach.ts
@@ -1,10 +1,13 @@
 /** Tells the other VMs which services this VM has lost, and hears theirs. */
 
-import { REACH } from "@limpetford/core/reach/vm_reach_table";
+import {
+  REACH,
+  type VmReachReport,
+} from "@limpetford/core/reach/vm_reach_table";
 import type { Clock } from "@limpetford/core/time/clock";
 import { type ServiceId, toId, type VmId } from "@limpetford/domain/ids";
 import type { Vm } from "@limpetford/domain/vm";
-import type { VmReachRow } from "@limpetford/peer/fleet_sync";
+import type { SyncMessage, VmReachRow } from "@limpetford/peer/fleet_sync";
 
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { ServerReachMonitor } from "./server_reach_monitor.ts";
@@ -92,21 +95,21 @@
   /**
    * Applies the reports in a message.
    *
-   * @param rows - reports of the sender and of others; undefined if it has none
+   * @param message - sender, and reports of it and of others, if it has any
    * @param sentAtMs - monotonic time before which the message can't be built
    */
-  applyRows(rows: readonly VmReachRow[] | undefined, sentAtMs: number): void {
+  applyRows(
+    { from, reach }: Pick<SyncMessage, "from" | "reach">,
+    sentAtMs: number,
+  ): void {
     const { self, peers } = this.#options;
-    for (const { vm, lostServices, reachedAgeMs, ageMs } of rows ?? []) {
-      if (vm !== self.incarnation.vm) {
-        const knownAtMs = sentAtMs - ageMs;
-        peers.reach.record(toId<VmId>(vm), {
-          lostServices: lostServices.map((service) => toId<ServiceId>(service)),
-          reachedAtMs: reachedAgeMs === null
-            ? -Infinity
-            : sentAtMs - reachedAgeMs,
-          knownAtMs,
-        });
+    for (const row of reach ?? []) {
+      const vm = toId<VmId>(row.vm);
+      const report = toReport(row, sentAtMs);
+      if (vm === from) {
+        peers.reach.update(vm, report);
+      } else if (vm !== self.incarnation.vm) {
+        peers.reach.record(vm, report);
       }
     }
     this.#verifyIfNeeded();
@@ -152,6 +155,17 @@
   }
 }
 
+function toReport(
+  { lostServices, reachedAgeMs, ageMs }: VmReachRow,
+  sentAtMs: number,
+): VmReachReport {
+  return {
+    lostServices: lostServices.map((service) => toId<ServiceId>(service)),
+    reachedAtMs: reachedAgeMs === null ? -Infinity : sentAtMs - reachedAgeMs,
+    knownAtMs: sentAtMs - ageMs,
+  };
+}
+
 function toAge(nowMs: number, atMs: number): number | null {
   return Number.isFinite(atMs) ? Math.round(nowMs - atMs) : null;
 }
--- a/packages/entry/src/fleet/server_reach_monitor.ts
+++ b/packages/entry/src/fleet/server_reach_monitor.ts
@@ -127,7 +127,8 @@
       if (reach.shouldProbe(servers.length, nowMs)) {
         void this.#runRound(service, balancer);
       }
-      isNeeded ||= reach.isUnreachable || reach.isInDoubt ||
+      const isOpen = reach.isUnreachable || reach.isInDoubt;
+      isNeeded ||= (isOpen && servers.length > 0) ||
         servers.some(({ ownLoad }) => ownLoad > 0);
     }
     return isNeeded;
@@ -144,8 +145,8 @@
   async #connect(service: ServiceId, balancer: Balancer): Promise<void> {
     const { clock, log } = this.#options;
     const { reach } = balancer;
-    reach.beginRound(clock.readMonotonicMs());
     const startedAtMs = clock.readMonotonicMs();
+    reach.beginRound(startedAtMs);
     const silentMs = Math.round(
       Math.min(startedAtMs - reach.reachedAtMs, startedAtMs),
     );
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -69,7 +69,7 @@
       this.#findPeer(message),
       message.suspicions,
     );
-    this.#options.reach.applyRows(message.reach, sentAtMs);
+    this.#options.reach.applyRows(message, sentAtMs);
     this.#options.serverLimits.applyRows(
       message.serverLimits ?? [],
       sentAtMs,
