fix: a VM that is about to close refuses what is forwarded to it as not run

Cause: a VM that stops waits until no request is in flight and then closes its peer address; a request forwarded to it in between was cut off without an answer. Found by reading, after what operators of similar systems have told us of planned stops.

Change: from the moment at which it stops to accept callers, it refuses forwarded requests truly and closes the connection; the VM that forwards asks another one.

Evidence: forwarded_requests_test 'is answered while the VM that it is forwarded to stops', new. It passes on the code before as well: the moment is short, and no run has shown the fault.

--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -10,6 +10,7 @@
 import { FORWARDED_HEADER } from "@limpetford/peer/fleet_calls";
 
 import {
+  FORWARDED_RESULT,
   type ForwardingTerms,
   parseForwardingHeader,
 } from "../dialect/forwarding_headers.ts";
@@ -33,6 +34,7 @@
 const ACCEPT_BACKLOG = 4_096;
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 const STATUS_BAD_REQUEST = 400;
+const STATUS_UNAVAILABLE = 503;
 
 /** Address, certificates and limits of the server for callers. */
 export interface CallerServerOptions extends CallerServerLimits {
@@ -75,6 +77,7 @@
   };
   #requestCount = 0;
   #isStopping = false;
+  #isClosing = false;
   #drained: Promise<void> | undefined;
 
   /**
@@ -197,6 +200,14 @@
       response.writeHead(STATUS_BAD_REQUEST, { connection: "close" }).end();
       return;
     }
+    if (this.#isClosing) {
+      // Nobody would wait for it: the VM that forwards it can ask another one.
+      response.writeHead(STATUS_UNAVAILABLE, {
+        [FORWARDED_HEADER]: FORWARDED_RESULT.notRun,
+        connection: "close",
+      }).end();
+      return;
+    }
     this.#accept(request, response, forwarding);
   }
 
@@ -243,6 +254,7 @@
   async #drainOnce(lingerMs: number): Promise<void> {
     this.#isStopping = true;
     await waitMs(lingerMs);
+    this.#isClosing = true;
     const closed = this.#closeListener();
     await this.#pipeline.waitIdle();
     await closed;
--- a/packages/standins/src/fleet/forwarded_requests_test.ts
+++ b/packages/standins/src/fleet/forwarded_requests_test.ts
@@ -138,6 +138,35 @@
     expect(toldNotRun).toEqual([]);
   });
 
+  it("is answered while the VM that it is forwarded to stops", async () => {
+    for (const server of fleet.servers) {
+      server.processingMs = PROCESSING_MS;
+    }
+    const sent: Promise<CallerResponse>[] = [];
+    const stopping = fleet.vms.filter(({ zone }) => zone === "zone-1");
+    for (let count = 0; count < 300; count++) {
+      if (count === 50) {
+        stopping[0]?.sendSignal("SIGTERM");
+      }
+      sent.push(send(cutVms[count % cutVms.length], {
+        path: `/book/stop-${count}`,
+        method: "POST",
+        body: "deposit",
+      }));
+      await waitMs(20);
+    }
+    const ended = await Promise.all(sent);
+    // Each has run once, or was refused truly and can be sent again.
+    const cutOff = ended.flatMap(({ status }, count) =>
+      status === STATUS_OK ||
+        (NOT_RUN_STATUSES.includes(status) &&
+          listReceived(`/book/stop-${count}`).length === 0)
+        ? []
+        : [status]
+    );
+    expect(cutOff).toEqual([]);
+  });
+
   it("ends at the server when its caller leaves", async () => {
     for (const server of fleet.servers) {
       server.processingMs = 2_000;
