fix: a caller's header does not spare it its team's limit

Change: a token counts as taken only for what came to the VM's peer address.

Evidence: forwarding_test 'a caller that claims to be another VM stays within its limit', red for limpetford-passed-on before. On the platform's path both conditions are the same.

--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -190,8 +190,9 @@
   async #serveUnclaimed(admitted: AdmittedExchange): Promise<void> {
     const { context, exchange } = admitted;
     this.#ports.decisions?.recordAdmitted(context);
-    // The VM that forwarded a request has taken its token.
-    if (context.team !== undefined && !context.isPassedOn) {
+    // The VM that forwarded a request to this one's peer address took its token.
+    const isTokenTaken = exchange.forwarding !== undefined;
+    if (context.team !== undefined && !isTokenTaken) {
       const verdict = await this.#ports.rateLimiter.acquire(
         context.team,
         context,
--- a/packages/standins/src/serving/forwarding_test.ts
+++ b/packages/standins/src/serving/forwarding_test.ts
@@ -113,3 +113,24 @@
     expect(result.headers["limpetford-outcome"]).toBe("unknown");
   });
 });
+
+// Guards against callers who get past their team's limit by a header that VMs send
+// each other.
+describe("a caller that claims to be another VM", () => {
+  it.each(["limpetford-passed-on", "limpetford-forwarded"])(
+    "stays within its limit (%s)",
+    async (header) => {
+      const harness = new ServingHarness({ burst: 2, ratePerSecond: 0.001 });
+      await harness.start();
+      const statuses: number[] = [];
+      for (let count = 0; count < 4; count++) {
+        const { status } = await sendRequest(harness.address, "/read/a", {
+          headers: { ...AUTHORIZED, [header]: "1" },
+        });
+        statuses.push(status);
+      }
+      await harness.stop();
+      expect(statuses).toEqual([200, 200, 429, 429]);
+    },
+  );
+});
