--- a/packages/standins/src/fleet/forwarded_requests_test.ts
+++ b/packages/standins/src/fleet/forwarded_requests_test.ts
@@ -4,6 +4,7 @@
   CallerRequest,
   CallerResponse,
 } from "../platform/caller_client.ts";
+import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type { ReceivedRequest } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
@@ -79,10 +80,10 @@
     expect(received?.method).toBe("POST");
     expect(received?.body).toBe("deposit");
     expect(received?.headers["x-own"]).toBe("kept");
-    expect(received?.headers["tenant"]).toBe("dance");
+    expect(received?.headers[PROTOCOL_HEADER.team]).toBe("dance");
     expect(received?.headers[FORWARDED_HEADER]).toBeUndefined();
-    expect(received?.headers["key"]).toBeUndefined();
-    const timeLeftMs = Number(received?.headers["request-deadline"]);
+    expect(received?.headers[PROTOCOL_HEADER.callerKey]).toBeUndefined();
+    const timeLeftMs = Number(received?.headers[PROTOCOL_HEADER.timeLeftMs]);
     expect(timeLeftMs).toBeGreaterThan(1_500);
     expect(timeLeftMs).toBeLessThanOrEqual(2_000);
   });
--- a/packages/standins/src/serving/forwarding_test.ts
+++ b/packages/standins/src/serving/forwarding_test.ts
@@ -122,7 +122,7 @@
     async (header) => {
       const harness = new ServingHarness({ burst: 2, ratePerSecond: 0.001 });
       await harness.start();
-      const statuses: number[] = [];
+      const statuses: unknown[] = [];
       for (let count = 0; count < 4; count++) {
         const { status } = await sendRequest(harness.address, "/read/a", {
           headers: { ...AUTHORIZED, [header]: "1" },
