test: requests of callers that left while their VM was behind (failing)

Callers saw nothing; servers worked for nobody (GONE): of requests that lay unread at a VM that was stopped for 3 s, 40 of 40 reached a server more than 0.5 s after their callers had left; at a VM that runs 5 of each 100 ms, 548; forwarded to a VM that was stopped, 80 of 80. Bound: the users' rule (half a second, a few requests).

--- /dev/null
+++ b/packages/standins/src/fleet/departed_callers_test.ts
@@ -0,0 +1,187 @@
+import { execFileSync } from "node:child_process";
+
+import type {
+  CallerRequest,
+  CallerResponse,
+} from "../platform/caller_client.ts";
+import { waitMs } from "../process_soak/wait_ms.ts";
+import { FleetProcesses } from "./fleet_processes.ts";
+import {
+  BUNDLE_DIRECTORY,
+  SERVER_LINK_FAULT,
+  type VmProcessHandle,
+} from "./vm_process_handle.ts";
+
+const KEY = "key-of-dance";
+const STATUS_OK = 200;
+/** Time after which a caller leaves that has got no response. */
+const PATIENCE_MS = 150;
+/** The users' bounds on work for callers that have left. */
+const ALLOWED_LATE_MS = 500;
+const ALLOWED_LATE_REQUESTS = 3;
+const CALLER_COUNT = 40;
+const HELD_UP_MS = 3_000;
+/** Of each period, the time for which a slow VM runs. */
+const SLOW_RUN_MS = 5;
+const SLOW_PERIOD_MS = 100;
+const SLOW_FOR_MS = 4_000;
+const SETTLE_MS = 1_500;
+
+/** A request whose caller left without a response. */
+interface AbandonedRequest {
+  readonly path: string;
+  readonly leftAtMs: number;
+}
+
+// Guards against work for callers that left while their request lay unread at a VM
+// that was behind.
+describe("requests of callers that have left", () => {
+  let fleet: FleetProcesses;
+  beforeAll(() => {
+    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+  });
+  beforeEach(async () => {
+    fleet = new FleetProcesses();
+    await fleet.start({ servers: 6, zones: [2, 2] });
+    await waitMs(1_000);
+  });
+  afterEach(async () => {
+    for (const vm of fleet.vms) {
+      vm.sendSignal("SIGCONT");
+    }
+    await fleet.stop();
+  });
+
+  async function findLeader(): Promise<VmProcessHandle> {
+    const leader = await fleet.findLeader("zone-0");
+    if (leader === undefined) {
+      throw new Error("the zone has no leader");
+    }
+    return leader;
+  }
+
+  function buildRequest(path: string, index: number): CallerRequest {
+    return index % 2 === 0
+      ? { path: `/read/${path}`, key: KEY }
+      : { path: `/book/${path}`, key: KEY, method: "POST", body: "deposit" };
+  }
+
+  async function sendAndLeave(
+    vm: VmProcessHandle,
+    request: CallerRequest,
+  ): Promise<AbandonedRequest | undefined> {
+    const response = await fleet.send(vm, {
+      ...request,
+      abortAfterMs: PATIENCE_MS,
+    });
+    return response.status === 0
+      ? { path: request.path, leftAtMs: Date.now() }
+      : undefined;
+  }
+
+  // Requests that reached a server too late after their callers had left.
+  function listLate(
+    abandoned: readonly (AbandonedRequest | undefined)[],
+  ): readonly string[] {
+    const leftAtMs = new Map(
+      abandoned.flatMap((request) =>
+        request === undefined ? [] : [[request.path, request.leftAtMs]]
+      ),
+    );
+    return fleet.servers.flatMap(({ received }) => received).filter((request) =>
+      request.receivedAtMs >
+        (leftAtMs.get(request.target) ?? Infinity) + ALLOWED_LATE_MS
+    ).map(({ target }) => target);
+  }
+
+  // Runs the process for a small part of the time only.
+  async function runSlowly(
+    vm: VmProcessHandle,
+    untilMs: number,
+  ): Promise<void> {
+    while (Date.now() < untilMs) {
+      vm.sendSignal("SIGSTOP");
+      await waitMs(SLOW_PERIOD_MS - SLOW_RUN_MS);
+      vm.sendSignal("SIGCONT");
+      await waitMs(SLOW_RUN_MS);
+    }
+  }
+
+  it("are not sent by a VM that was held up", async () => {
+    const vm = await findLeader();
+    await fleet.send(vm, buildRequest("warm", 0));
+    vm.sendSignal("SIGSTOP");
+    const abandoned = await Promise.all(
+      Array.from(
+        { length: CALLER_COUNT },
+        (_, index) => sendAndLeave(vm, buildRequest(`held-${index}`, index)),
+      ),
+    );
+    await waitMs(HELD_UP_MS - PATIENCE_MS);
+    const staying: Promise<CallerResponse>[] = Array.from(
+      { length: 10 },
+      (_, index) => fleet.send(vm, buildRequest(`stay-${index}`, index)),
+    );
+    await waitMs(50);
+    vm.sendSignal("SIGCONT");
+    const statuses = (await Promise.all(staying)).map(({ status }) => status);
+    await waitMs(SETTLE_MS);
+    expect(abandoned.filter(Boolean)).toHaveLength(CALLER_COUNT);
+    expect(listLate(abandoned).length).toBeLessThanOrEqual(
+      ALLOWED_LATE_REQUESTS,
+    );
+    expect(statuses).toEqual(staying.map(() => STATUS_OK));
+  });
+
+  it("are not sent by a VM that is slow", async () => {
+    const vm = await findLeader();
+    await fleet.send(vm, buildRequest("warm", 0));
+    const endAtMs = Date.now() + SLOW_FOR_MS;
+    const slow = runSlowly(vm, endAtMs);
+    const sent: Promise<AbandonedRequest | undefined>[] = [];
+    for (let index = 0; Date.now() < endAtMs - SETTLE_MS; index++) {
+      sent.push(sendAndLeave(vm, buildRequest(`slow-${index}`, index)));
+      await waitMs(4);
+    }
+    const abandoned = await Promise.all(sent);
+    await slow;
+    await waitMs(SETTLE_MS);
+    expect(abandoned.filter(Boolean).length).toBeGreaterThan(CALLER_COUNT);
+    expect(listLate(abandoned).length).toBeLessThanOrEqual(
+      ALLOWED_LATE_REQUESTS,
+    );
+  });
+
+  it("are not sent by another VM that was held up", async () => {
+    const cutVms = fleet.vms.filter(({ zone }) => zone === "zone-0");
+    const others = fleet.vms.filter(({ zone }) => zone === "zone-1");
+    fleet.setServerLinkFault(cutVms, SERVER_LINK_FAULT.refused);
+    // The VMs find out by requests that fail.
+    for (let count = 0; count < 4; count++) {
+      await Promise.all(
+        cutVms.map((vm) => fleet.send(vm, buildRequest(`find-${count}`, 0))),
+      );
+    }
+    await waitMs(SETTLE_MS);
+    for (const vm of others) {
+      vm.sendSignal("SIGSTOP");
+    }
+    const abandoned = await Promise.all(
+      cutVms.flatMap((vm) =>
+        Array.from(
+          { length: CALLER_COUNT },
+          (_, index) =>
+            sendAndLeave(vm, buildRequest(`other-${vm.id}-${index}`, index)),
+        )
+      ),
+    );
+    await waitMs(HELD_UP_MS - PATIENCE_MS);
+    for (const vm of others) {
+      vm.sendSignal("SIGCONT");
+    }
+    await waitMs(SETTLE_MS);
+    expect(listLate(abandoned).length).toBeLessThanOrEqual(
+      ALLOWED_LATE_REQUESTS,
+    );
+  });
+});
