test: a refusal that a server writes once more on a kept connection (failing)

Callers saw 503 "not run" of requests that a server had run, if the copy bears no identifier; with the identifier of the earlier request, 502 in place of the answer that came 40 ms behind it (44 of 60 requests). Bounds: the promise of 503, and that ready answers are delivered.

--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -50,6 +50,25 @@
   readonly receivedAtMs: number;
 }
 
+/** Forms in which the stand-in writes an earlier refusal once more. */
+export const REPEATED_REFUSAL = {
+  none: "none",
+  /** As it was sent, with the identifier of the earlier request. */
+  identified: "identified",
+  /** Without the identifier of any request. */
+  anonymous: "anonymous",
+} as const;
+/** One of the forms in `REPEATED_REFUSAL`. */
+export type RepeatedRefusal =
+  typeof REPEATED_REFUSAL[keyof typeof REPEATED_REFUSAL];
+
+/** Bytes that the stand-in writes in place of a response. */
+export interface RawResponse {
+  readonly bytes: string;
+  /** How the connection ends after them; `reset` also drops unread bytes. */
+  readonly end: "close" | "reset";
+}
+
 /** Requests that crash the server, and how long a crash lasts. */
 export interface CrashBehavior {
   /** Checks whether a request that begins to run crashes the server. */
@@ -86,11 +105,22 @@
    * to run the request.
    */
   chooseRetryAfter: (() => string | undefined) | undefined;
+  /**
+   * Form in which the last refusal of a connection is written once more as the
+   * next request on it begins to run.
+   */
+  repeatedRefusal: RepeatedRefusal = REPEATED_REFUSAL.none;
+  /** Chooses bytes to write in place of a response; undefined to respond. */
+  chooseRawResponse:
+    | ((received: ReceivedRequest) => RawResponse | undefined)
+    | undefined;
   /** Called when the server goes down in a crash and when it is back. */
   outageListener: ((isDown: boolean) => void) | undefined;
   /** Wall-clock times of the crashes so far, in milliseconds. */
   readonly crashedAtMs: number[] = [];
   readonly #sockets = new Set<Socket>();
+  /** Identifier of the last request that was refused on each connection. */
+  readonly #refusedIds = new WeakMap<Socket, string>();
   readonly #server = http.createServer((request, response) => {
     void this.#handleRequest(request, response);
   });
@@ -225,10 +255,32 @@
       this.stopAbruptly(downMs);
       return;
     }
+    const raw = this.chooseRawResponse?.(received);
+    if (raw !== undefined) {
+      writeRaw(request.socket, raw);
+      return;
+    }
+    if (received.hasRun) {
+      this.#writeRefusalAgain(request.socket);
+    }
     await new Promise((resolve) => setTimeout(resolve, this.processingMs));
     this.#writeResponse({ behavior, retryAfter }, request, response);
   }
 
+  #writeRefusalAgain(socket: Socket): void {
+    const id = this.#refusedIds.get(socket);
+    if (id === undefined || this.repeatedRefusal === REPEATED_REFUSAL.none) {
+      return;
+    }
+    const idLine = this.repeatedRefusal === REPEATED_REFUSAL.identified
+      ? `request-id: ${id}\r\n`
+      : "";
+    socket.write(
+      "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n" +
+        `${idLine}content-length: 0\r\n\r\n`,
+    );
+  }
+
   #writeResponse(
     { behavior, retryAfter }: ChosenResponse,
     request: http.IncomingMessage,
@@ -258,8 +310,12 @@
         response.end("failed");
         break;
       case "shed":
+        this.#refusedIds.set(request.socket, head["request-id"]);
         response.writeHead(STATUS_UNAVAILABLE, {
           "not-executed": "1",
+          ...this.repeatedRefusal === REPEATED_REFUSAL.anonymous
+            ? {}
+            : { "request-id": head["request-id"] },
           ...stateHeaders,
         });
         response.end();
@@ -305,3 +361,13 @@
     }
   }
 }
+
+function writeRaw(socket: Socket, { bytes, end }: RawResponse): void {
+  socket.write(bytes, () => {
+    if (end === "close") {
+      socket.end();
+    } else {
+      resetSocket(socket);
+    }
+  });
+}
