test: a planned stop of a leader with slow servers (failing)

Callers saw their connection end without an answer: with servers that take 2.4 s of the 3 s that the route allows, requests taken 1.2 to 2.4 s after SIGTERM were passed on and cut at the end of a grace of 4 s, bookings among them. With servers that take 0.1 and 1 s nothing was cut. Bound: the promise that a planned stop cuts nothing.

--- /dev/null
+++ b/packages/standins/src/fleet/planned_stop_test.ts
@@ -0,0 +1,111 @@
+import { execFileSync } from "node:child_process";
+import * as http from "node:http";
+
+import type { CallerResponse } from "../platform/caller_client.ts";
+import { waitMs } from "../process_soak/wait_ms.ts";
+import { FleetProcesses } from "./fleet_processes.ts";
+import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+
+const KEY = "key-of-dance";
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+const KEPT_CALLERS = 14;
+const NEW_CALLER_INTERVAL_MS = 80;
+const BEFORE_STOP_MS = 3_000;
+
+interface EndedRequest {
+  readonly path: string;
+  readonly sentAtMs: number;
+  readonly response: CallerResponse;
+}
+
+// Guards against requests that are taken late in a planned stop, cannot end in time
+// and are cut when the process exits.
+describe("a planned stop of a leader", () => {
+  let fleet: FleetProcesses;
+  let vm: VmProcessHandle;
+  let ended: EndedRequest[];
+  beforeAll(() => {
+    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+  });
+  beforeEach(async () => {
+    fleet = new FleetProcesses();
+    await fleet.start({ servers: 8, zones: [2, 2] });
+    await waitMs(1_000);
+    const leader = await fleet.findLeader("zone-0");
+    if (leader === undefined) {
+      throw new Error("the zone has no leader");
+    }
+    vm = leader;
+    ended = [];
+  });
+  afterEach(async () => {
+    await fleet.stop();
+  });
+
+  async function send(index: string, agent?: http.Agent): Promise<boolean> {
+    const isBooking = ended.length % 2 === 0;
+    const path = `/${isBooking ? "book" : "read"}/${index}`;
+    const sentAtMs = Date.now();
+    const response = await fleet.send(vm, {
+      path,
+      key: KEY,
+      ...isBooking ? { method: "POST", body: "deposit" } : {},
+      ...agent === undefined ? {} : { agent },
+    });
+    ended.push({ path, sentAtMs, response });
+    return vm.isRunning();
+  }
+
+  // Sends one request after the other on one connection until the process is gone.
+  async function keepSending(caller: number): Promise<void> {
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    let count = 0;
+    while (await send(`kept-${caller}-${count}`, agent)) {
+      count += 1;
+      await waitMs(5);
+    }
+    agent.destroy();
+  }
+
+  function countRuns(path: string): number {
+    return fleet.servers.flatMap(({ received }) => received).filter((request) =>
+      request.hasRun && request.target === path
+    ).length;
+  }
+
+  it.each([100, 1_000, 2_400])(
+    "cuts nothing that it has passed on, with servers that take %d ms",
+    async (processingMs) => {
+      for (const server of fleet.servers) {
+        server.processingMs = processingMs;
+      }
+      const callers = Array.from(
+        { length: KEPT_CALLERS },
+        (_, caller) => keepSending(caller),
+      );
+      await waitMs(BEFORE_STOP_MS);
+      const stoppedAtMs = Date.now();
+      vm.sendSignal("SIGTERM");
+      for (let count = 0; vm.isRunning(); count++) {
+        callers.push(send(`new-${count}`).then(() => undefined));
+        await waitMs(NEW_CALLER_INTERVAL_MS);
+      }
+      await Promise.all(callers);
+      const cut = ended.filter(({ path, response }) =>
+        response.status === 0 && countRuns(path) > 0
+      );
+      expect(
+        cut.map(({ path, sentAtMs }) => [path, sentAtMs - stoppedAtMs]),
+      ).toEqual([]);
+      const untrue = ended.filter(({ path, response }) =>
+        response.status === STATUS_UNAVAILABLE && countRuns(path) > 0
+      );
+      expect(untrue.map(({ path }) => path)).toEqual([]);
+      const served = ended.filter(({ sentAtMs, response }) =>
+        sentAtMs > stoppedAtMs && response.status === STATUS_OK
+      );
+      expect(served.length).toBeGreaterThan(0);
+    },
+  );
+});
--- a/packages/standins/src/platform/caller_client.ts
+++ b/packages/standins/src/platform/caller_client.ts
@@ -34,6 +34,8 @@
   readonly isChunked?: boolean;
   /** Headers besides those that callers always send. */
   readonly headers?: Readonly<Record<string, string>>;
+  /** Keeps the caller's connections; a new connection by default. */
+  readonly agent?: http.Agent;
   /** Time until the caller closes its connection; never by default. */
   readonly abortAfterMs?: number;
 }
@@ -41,7 +43,7 @@
 let requestCount = 0;
 
 /**
- * Sends one request on a new connection.
+ * Sends one request, on a new connection unless the request names an agent.
  *
  * @param address - caller address of a VM
  * @param request - what to send
@@ -59,7 +61,7 @@
       port: address.port,
       path: request.path,
       method: request.method ?? "GET",
-      agent: false,
+      agent: request.agent ?? false,
       headers: {
         host: request.host ?? "bands.example",
         [PROTOCOL_HEADER.requestId]: request.id ?? `request-${requestCount}`,
