feat: a VM says how far it is behind, and how long a request may have lain unread

No logic changes.

The bound is the time since the turn of the event loop before the last one ended, which holds for a busy process and for a stopped one alike. request-admitted gets maxUnreadMs and queuedMs, the gauge loop_delay_seconds the longest delay of timers and requests. A tick of the exchange observes the loop of a VM without requests.

--- a/packages/entry/src/fleet/fleet_caller_server.ts
+++ b/packages/entry/src/fleet/fleet_caller_server.ts
@@ -6,6 +6,7 @@
 import { PlatformDialect } from "../dialect/platform_dialect.ts";
 import { CallerServer } from "../http/caller_server.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
+import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { FleetDecisionLog } from "./fleet_decision_log.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
@@ -32,6 +33,7 @@
   readonly state: FleetState;
   readonly limiter: SharedRateLimiter;
   readonly router: PlacementRouter;
+  readonly loop: EventLoopMonitor;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: FleetLog;
--- a/packages/entry/src/fleet/fleet_decision_log.ts
+++ b/packages/entry/src/fleet/fleet_decision_log.ts
@@ -30,7 +30,7 @@
     this.#clock = clock;
   }
 
-  override recordAdmitted(context: RequestContext): void {
+  override recordAdmitted(context: RequestContext, maxUnreadMs: number): void {
     const nowMs = this.#clock.readMonotonicMs();
     this.#log.record("request-admitted", {
       request: context.id,
@@ -38,6 +38,8 @@
       service: context.terms?.service ?? context.route.service,
       team: context.team ?? "",
       deadlineInMs: Math.round(context.deadlineAtMs - nowMs),
+      maxUnreadMs: Math.round(maxUnreadMs),
+      queuedMs: Math.round(nowMs - context.receivedAtMs),
       configurationVersion: this.#state.active?.configuration.version ?? -1,
     });
   }
--- /dev/null
+++ b/packages/entry/src/fleet/fleet_drain.ts
@@ -0,0 +1,63 @@
+/** Stops a VM gracefully within its grace period. */
+
+import type { CallerServer } from "../http/caller_server.ts";
+import type { FleetExchange } from "./fleet_exchange.ts";
+import type { FleetLog } from "./fleet_log.ts";
+import type { FleetPeers } from "./fleet_peers.ts";
+import type { PlacementRouter } from "./placement_router.ts";
+
+/** Share of the grace period for which a draining VM still accepts requests. */
+const LINGER_SHARE = 0.6;
+/**
+ * How long a draining VM without recent requests still accepts requests, for
+ * callers with a cached directory response.
+ */
+const IDLE_LINGER_MS = 1_600;
+/** Share of the grace period after which in-flight requests are aborted. */
+const FORCED_STOP_SHARE = 0.9;
+
+/** Dependencies of a {@link FleetDrain}. */
+export interface FleetDrainOptions {
+  /** Time from the signal to stop until the process is killed. */
+  readonly gracePeriodMs: number;
+  readonly peers: FleetPeers;
+  readonly exchange: FleetExchange;
+  readonly router: PlacementRouter;
+  readonly callerServer: CallerServer;
+  readonly log: FleetLog;
+}
+
+/**
+ * Resigns as leader, still accepts requests for a while, then finishes those in
+ * flight.
+ */
+export class FleetDrain {
+  readonly #options: FleetDrainOptions;
+
+  /**
+   * Prepares a drain; nothing changes before {@link run}.
+   *
+   * @param options - grace period and the components that stop
+   */
+  constructor(options: FleetDrainOptions) {
+    this.#options = options;
+  }
+
+  /** Waits until no request is in flight or they have to be aborted. */
+  async run(): Promise<void> {
+    const { gracePeriodMs, peers, exchange, router, callerServer, log } =
+      this.#options;
+    log.record("drain-started", { inFlight: callerServer.inFlight });
+    peers.isLeaving = true;
+    peers.ownLeaderSinceMs = undefined;
+    exchange.notifyPartners();
+    const lingerMs = router.hasRecentRequests()
+      ? gracePeriodMs * LINGER_SHARE
+      : Math.min(IDLE_LINGER_MS, gracePeriodMs * LINGER_SHARE);
+    const forcedStop = new Promise<void>((resolve) => {
+      setTimeout(resolve, gracePeriodMs * FORCED_STOP_SHARE).unref();
+    });
+    await Promise.race([callerServer.drain(lingerMs), forcedStop]);
+    log.record("stopped", { inFlight: callerServer.inFlight });
+  }
+}
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -16,6 +16,7 @@
 } from "@limpetford/peer/fleet_sync";
 import { MESSAGE_CODEC_VERSION } from "@limpetford/peer/message_codec";
 
+import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { FleetContacts } from "./fleet_contacts.ts";
 import type { FleetReach } from "./fleet_reach.ts";
 import type { ServerTokenIssuer } from "./server_token_issuer.ts";
@@ -53,6 +54,7 @@
 /** Dependencies and seed addresses of a {@link FleetExchange}. */
 export interface FleetExchangeOptions extends SyncMessagesOptions {
   readonly client: FleetCallClient;
+  readonly loop: EventLoopMonitor;
   /** Peer addresses to call while no other VM is known. */
   readonly seeds: readonly SocketAddress[];
   readonly tokenIssuer: ServerTokenIssuer;
@@ -187,11 +189,16 @@
   }
 
   #scheduleTick(): void {
+    const { loop, clock } = this.#options;
     const isSettled = this.#leadership.isFollowing;
+    const delayMs = isSettled ? FOLLOWER_TICK_MS : LEADER_TICK_MS;
+    const dueAtMs = clock.readMonotonicMs() + delayMs;
     this.#timer = setTimeout(() => {
+      loop.observeTurn();
+      loop.recordDelay(clock.readMonotonicMs() - dueAtMs);
       this.#runTick();
       this.#scheduleTick();
-    }, isSettled ? FOLLOWER_TICK_MS : LEADER_TICK_MS);
+    }, delayMs);
   }
 
   #runTick(): void {
--- a/packages/entry/src/fleet/fleet_exchange_test.ts
+++ b/packages/entry/src/fleet/fleet_exchange_test.ts
@@ -12,6 +12,7 @@
 
 import { buildEmptyConfiguration } from "../fakes/empty_configuration.ts";
 import { ExchangeSide } from "../fakes/exchange_side.ts";
+import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { resolvePort } from "../vm/free_port.ts";
 import { SystemClock } from "../vm/system_clock.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
@@ -77,6 +78,7 @@
     reach: side.reach,
     handleForwarded: () => undefined,
     client,
+    loop: new EventLoopMonitor(clock),
     clock,
     seeds: seeds.filter((seed) => seed !== peerAddress),
   });
--- a/packages/entry/src/fleet/fleet_gauges.ts
+++ b/packages/entry/src/fleet/fleet_gauges.ts
@@ -4,6 +4,7 @@
 import type { StoreClient } from "@limpetford/platform/store/store_client";
 
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
+import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { ServerRateLimits } from "./server_rate_limits.ts";
@@ -18,6 +19,7 @@
   readonly balancers: ServiceBalancers;
   readonly limits: ServerRateLimits;
   readonly client: StoreClient;
+  readonly loop: EventLoopMonitor;
   readonly countInFlight: () => number;
 }
 
@@ -29,8 +31,15 @@
  */
 export function addFleetGauges(
   metrics: PrometheusMetrics,
-  { state, peers, balancers, limits, client, countInFlight }: FleetGaugeSources,
+  sources: FleetGaugeSources,
 ): void {
+  const { state, peers, balancers, limits, client, loop, countInFlight } =
+    sources;
+  metrics.addGauge(
+    "loop_delay_seconds",
+    "longest delay of timers and requests within the last one to two seconds",
+    () => loop.longestDelayMs / MS_PER_S,
+  );
   metrics.addGauge(
     "configuration_version",
     "version of the configuration in force",
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -8,11 +8,13 @@
 
 import type { CallerServer } from "../http/caller_server.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
+import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { TcpConnectProbe } from "./connect_probe.ts";
 import { CrashProtection } from "./crash_protection.ts";
 import { DirectoryServer } from "./directory_server.ts";
 import { createFleetCallerServer } from "./fleet_caller_server.ts";
 import { FleetDirectory } from "./fleet_directory.ts";
+import { FleetDrain } from "./fleet_drain.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
 import { addFleetGauges } from "./fleet_gauges.ts";
 import type { FleetLog } from "./fleet_log.ts";
@@ -41,15 +43,6 @@
 import { VmRegistration } from "./vm_registration.ts";
 import { ZoneTraffic } from "./zone_traffic.ts";
 
-/** Share of the grace period for which a draining VM still accepts requests. */
-const LINGER_SHARE = 0.6;
-/**
- * How long a draining VM without recent requests still accepts requests, for
- * callers with a cached directory response.
- */
-const IDLE_LINGER_MS = 1_600;
-/** Share of the grace period after which in-flight requests are aborted. */
-const FORCED_STOP_SHARE = 0.9;
 /** Time between checks for deferred removals and for records to be written. */
 const MAINTENANCE_INTERVAL_MS = 250;
 /** Timeout of a call that asks another VM for a token. */
@@ -83,6 +76,7 @@
   readonly #router: PlacementRouter;
   readonly #exchange: FleetExchange;
   readonly #client: StoreClient;
+  readonly #loop: EventLoopMonitor;
   readonly #calls: FleetCallClient;
   readonly #callerServer: CallerServer;
   readonly #directory: DirectoryServer;
@@ -119,6 +113,7 @@
         isIsolated: () => this.#exchange.isIsolated,
       },
     });
+    this.#loop = new EventLoopMonitor(clock);
     this.#client = new StoreClient(settings.storeAddress);
     this.#registration = new VmRegistration(self, this.#client, log);
     const state = new FleetState(clock);
@@ -235,6 +230,7 @@
         this.#callerServer.acceptForwarded(request, response);
       },
       client: this.#calls,
+      loop: this.#loop,
       clock,
       log,
       seeds: otherSeeds,
@@ -264,6 +260,7 @@
       state,
       limiter,
       router: this.#router,
+      loop: this.#loop,
       clock,
       random,
       log,
@@ -282,6 +279,7 @@
         balancers: this.#balancers,
         limits: this.#limits,
         client: this.#client,
+        loop: this.#loop,
         countInFlight: () => this.#callerServer.inFlight,
       });
       this.#crashes.addGauges(this.#dependencies.metrics);
@@ -312,20 +310,14 @@
    * requests for a while, then finishes those in flight.
    */
   async drain(): Promise<void> {
-    const { gracePeriodMs } = this.#settings;
-    const { log } = this.#dependencies;
-    log.record("drain-started", { inFlight: this.#callerServer.inFlight });
-    this.#peers.isLeaving = true;
-    this.#peers.ownLeaderSinceMs = undefined;
-    this.#exchange.notifyPartners();
-    const lingerMs = this.#router.hasRecentRequests()
-      ? gracePeriodMs * LINGER_SHARE
-      : Math.min(IDLE_LINGER_MS, gracePeriodMs * LINGER_SHARE);
-    const forcedStop = new Promise<void>((resolve) => {
-      setTimeout(resolve, gracePeriodMs * FORCED_STOP_SHARE).unref();
-    });
-    await Promise.race([this.#callerServer.drain(lingerMs), forcedStop]);
-    log.record("stopped", { inFlight: this.#callerServer.inFlight });
+    await new FleetDrain({
+      gracePeriodMs: this.#settings.gracePeriodMs,
+      peers: this.#peers,
+      exchange: this.#exchange,
+      router: this.#router,
+      callerServer: this.#callerServer,
+      log: this.#dependencies.log,
+    }).run();
     await this.stop();
   }
 
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -127,13 +127,16 @@
   },
   "request-admitted": {
     level: "info",
-    meaning: "key, route and rate limit allow the request",
+    meaning:
+      "key, route and rate limit allow the request; it lay unread for `maxUnreadMs` at most before it was read, and `queuedMs` after that",
     fields: {
       request: "text",
       route: "text",
       service: "text",
       team: "text",
       deadlineInMs: "number",
+      maxUnreadMs: "number",
+      queuedMs: "number",
       configurationVersion: "number",
     },
   },
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -21,6 +21,7 @@
 import type { RequestExplanation } from "../serving/request_explanations.ts";
 import { RequestPipeline } from "../serving/request_pipeline.ts";
 import type { ServingPorts } from "../serving/serving_ports.ts";
+import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import type { CallerTls } from "../vm/vm_settings.ts";
 import type { CallerServerLimits } from "./caller_server_limits.ts";
 
@@ -63,6 +64,7 @@
   readonly #peerConnections: BackendConnectionPool;
   readonly #pipeline: RequestPipeline;
   readonly #dialect: ServingDialect;
+  readonly #loop: EventLoopMonitor;
   readonly #busySockets = new Map<Duplex, number>();
   readonly #requestIdPrefix: string;
   // Shared by all requests, to avoid allocating closures for each of them.
@@ -89,6 +91,7 @@
   constructor(ports: ServingPorts, options: CallerServerOptions) {
     this.#ports = ports;
     this.#options = options;
+    this.#loop = ports.loop ?? new EventLoopMonitor(ports.clock);
     this.#connections = new BackendConnectionPool(ports.clock, options.backend);
     this.#peerConnections = new BackendConnectionPool(
       ports.clock,
@@ -311,10 +314,12 @@
     forwarding?: ForwardingTerms,
   ): void {
     const { socket } = request;
+    this.#loop.observeTurn();
     this.#busySockets.set(socket, (this.#busySockets.get(socket) ?? 0) + 1);
     const exchange = new CallerExchange(request, response, {
       id: this.#resolveRequestId(request),
       receivedAtMs: this.#ports.clock.readMonotonicMs(),
+      maxUnreadMs: this.#loop.maxUnreadMs,
       forwarding,
       random: this.#ports.random,
       dialect: this.#dialect,
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -22,6 +22,8 @@
   readonly id: RequestId;
   /** Monotonic time, in milliseconds. */
   readonly receivedAtMs: number;
+  /** Longest time for which the request may have lain unread. */
+  readonly maxUnreadMs: number;
   /** Set if another VM has forwarded the request to this one. */
   readonly forwarding?: ForwardingTerms | undefined;
   readonly random: RandomSource;
@@ -42,6 +44,7 @@
   readonly writer: ResponseWriter;
   readonly id: RequestId;
   readonly receivedAtMs: number;
+  readonly maxUnreadMs: number;
   readonly forwarding: ForwardingTerms | undefined;
   readonly #options: ExchangeOptions;
   #disconnectListener: (() => void) | undefined;
@@ -66,6 +69,7 @@
     this.writer = new ResponseWriter(response);
     this.id = options.id;
     this.receivedAtMs = options.receivedAtMs;
+    this.maxUnreadMs = options.maxUnreadMs;
     this.forwarding = options.forwarding;
     this.#options = options;
     const { socket } = request;
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -189,7 +189,7 @@
 
   async #serveUnclaimed(admitted: AdmittedExchange): Promise<void> {
     const { context, exchange } = admitted;
-    this.#ports.decisions?.recordAdmitted(context);
+    this.#ports.decisions?.recordAdmitted(context, exchange.maxUnreadMs);
     // The VM that forwarded a request to this one's peer address took its token.
     const isTokenTaken = exchange.forwarding !== undefined;
     if (context.team !== undefined && !isTokenTaken) {
--- a/packages/entry/src/serving/serving_ports.ts
+++ b/packages/entry/src/serving/serving_ports.ts
@@ -12,6 +12,7 @@
 import type { DecisionLog } from "../telemetry/decision_log.ts";
 import type { ServingMetrics } from "../telemetry/serving_metrics.ts";
 import type { SpanRecorder } from "../telemetry/span_recorder.ts";
+import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 
 /** The components of a VM that take part in serving requests. */
 export interface ServingPorts {
@@ -22,6 +23,8 @@
   readonly entrySelector: EntrySelector;
   readonly clock: Clock;
   readonly random: RandomSource;
+  /** How far the event loop is behind; one of its own if absent. */
+  readonly loop?: EventLoopMonitor;
   /** Protocol of callers and backend servers; `NativeDialect` if absent. */
   readonly dialect?: ServingDialect;
   /** Log of decisions on requests; nothing is logged if absent. */
--- a/packages/entry/src/telemetry/decision_log.ts
+++ b/packages/entry/src/telemetry/decision_log.ts
@@ -20,8 +20,9 @@
    * Records that a request has been authenticated and routed.
    *
    * @param context - admitted request
+   * @param maxUnreadMs - longest time for which it may have lain unread
    */
-  abstract recordAdmitted(context: RequestContext): void;
+  abstract recordAdmitted(context: RequestContext, maxUnreadMs: number): void;
 
   /**
    * Records how a request ended; called once for each request.
--- /dev/null
+++ b/packages/entry/src/vm/event_loop_monitor.ts
@@ -0,0 +1,88 @@
+/** Measures how far the event loop of this process is behind. */
+
+import type { Clock } from "@limpetford/core/time/clock";
+
+/** Period over which the longest delay is kept. */
+const REPORT_WINDOW_MS = 1_000;
+
+/**
+ * Bounds the time for which bytes that are read now have lain unread. Whatever had
+ * arrived before the turn of the event loop before the last one ended has been read
+ * since. A process that was stopped shows the same as one that was busy.
+ */
+export class EventLoopMonitor {
+  readonly #clock: Clock;
+  #lastTurnAtMs: number;
+  #turnBeforeAtMs: number;
+  #isScheduled = false;
+  #windowStartedAtMs: number;
+  #windowDelayMs = 0;
+  #delayBeforeMs = 0;
+
+  /**
+   * Starts with a loop that is not behind.
+   *
+   * @param clock - measures the turns
+   */
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    const nowMs = clock.readMonotonicMs();
+    this.#lastTurnAtMs = nowMs;
+    this.#turnBeforeAtMs = nowMs;
+    this.#windowStartedAtMs = nowMs;
+  }
+
+  /**
+   * Longest time for which bytes that are read now may have lain unread.
+   *
+   * @returns milliseconds; large also if no turn was observed for a while
+   */
+  get maxUnreadMs(): number {
+    return this.#clock.readMonotonicMs() - this.#turnBeforeAtMs;
+  }
+
+  /**
+   * Longest delay that was recorded within the last one to two seconds.
+   *
+   * @returns milliseconds
+   */
+  get longestDelayMs(): number {
+    this.#advanceWindow(this.#clock.readMonotonicMs());
+    return Math.max(this.#windowDelayMs, this.#delayBeforeMs);
+  }
+
+  /** Observes the end of this turn. Has to be called several times a second. */
+  observeTurn(): void {
+    if (this.#isScheduled) {
+      return;
+    }
+    this.#isScheduled = true;
+    setImmediate(() => {
+      this.#isScheduled = false;
+      this.#turnBeforeAtMs = this.#lastTurnAtMs;
+      this.#lastTurnAtMs = this.#clock.readMonotonicMs();
+    });
+  }
+
+  /**
+   * Records by how much something ran later than it could have run.
+   *
+   * @param delayMs - delay of a timer or of a request, in milliseconds
+   */
+  recordDelay(delayMs: number): void {
+    this.#advanceWindow(this.#clock.readMonotonicMs());
+    this.#windowDelayMs = Math.max(this.#windowDelayMs, delayMs);
+  }
+
+  #advanceWindow(nowMs: number): void {
+    const passedMs = nowMs - this.#windowStartedAtMs;
+    if (passedMs < REPORT_WINDOW_MS) {
+      return;
+    }
+    this.#delayBeforeMs = passedMs < 2 * REPORT_WINDOW_MS
+      ? this.#windowDelayMs
+      : 0;
+    this.#windowDelayMs = 0;
+    this.#windowStartedAtMs = nowMs;
+  }
+}
