fix: nothing is sent for callers that left while their requests lay unread

Servers worked for callers that had left (GONE): a request is admitted and sent in the turn of the event loop in which it is read, and the close of its caller stands behind it in the same socket. Of requests at a VM that was stopped for 3 s, 40 of 40 were sent; at a VM that runs 5 of each 100 ms, 548; at a stopped VM that they were forwarded to, 80 of 80.

Change: while the loop may have left connections unread for over 150 ms, what was read waits until they have been read once more, and so does an attempt that is about to be sent. A turn of the loop begins requests for 10 ms at most, the oldest first; what is left waits for the next turns, so closes and cancels are read in between. Tokens, slots, retry budget and crash records are touched only after that, so none are spent for callers that have left. The end of a caller's stream counts as leaving at once; the close of the response, which was used before, comes some turns later. A VM that is not behind begins requests as before.

--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -65,16 +65,22 @@
   readonly #pipeline: RequestPipeline;
   readonly #dialect: ServingDialect;
   readonly #loop: EventLoopMonitor;
-  readonly #busySockets = new Map<Duplex, number>();
+  /** Requests that have not ended, by connection. */
+  readonly #exchanges = new Map<Duplex, CallerExchange[]>();
+  /** Connections whose end is observed. */
+  readonly #observedSockets = new WeakSet<Duplex>();
   readonly #requestIdPrefix: string;
   // Shared by all requests, to avoid allocating closures for each of them.
   readonly #readStopping = (): boolean => this.#isStopping;
-  readonly #releaseSocket = (socket: Duplex): void => {
-    const remaining = (this.#busySockets.get(socket) ?? 1) - 1;
-    if (remaining === 0) {
-      this.#busySockets.delete(socket);
+  readonly #releaseExchange = (exchange: CallerExchange): void => {
+    const { socket } = exchange.request;
+    const others = (this.#exchanges.get(socket) ?? []).filter((other) =>
+      other !== exchange
+    );
+    if (others.length === 0) {
+      this.#exchanges.delete(socket);
     } else {
-      this.#busySockets.set(socket, remaining);
+      this.#exchanges.set(socket, others);
     }
   };
   #requestCount = 0;
@@ -101,7 +107,7 @@
     );
     this.#dialect = ports.dialect ?? new NativeDialect(ports);
     this.#pipeline = new RequestPipeline(
-      { ports, dialect: this.#dialect },
+      { ports, dialect: this.#dialect, loop: this.#loop },
       { backend: this.#connections, peer: this.#peerConnections },
       options,
     );
@@ -301,7 +307,7 @@
       this.#accept(request, response);
     });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-      const isBusy = this.#busySockets.has(socket);
+      const isBusy = this.#exchanges.has(socket);
       this.#dialect.refuseMalformed(error, socket, isBusy);
       this.#ports.metrics?.count("malformed_requests");
     });
@@ -313,9 +319,6 @@
     response: http.ServerResponse,
     forwarding?: ForwardingTerms,
   ): void {
-    const { socket } = request;
-    this.#loop.observeTurn();
-    this.#busySockets.set(socket, (this.#busySockets.get(socket) ?? 0) + 1);
     const exchange = new CallerExchange(request, response, {
       id: this.#resolveRequestId(request),
       receivedAtMs: this.#ports.clock.readMonotonicMs(),
@@ -324,12 +327,28 @@
       random: this.#ports.random,
       dialect: this.#dialect,
       isStopping: this.#readStopping,
-      releaseSocket: this.#releaseSocket,
+      releaseExchange: this.#releaseExchange,
     });
+    this.#trackExchange(exchange);
     if (this.#dialect.handleOwnRequest(exchange, this.#isStopping)) {
       return;
     }
-    void this.#pipeline.serve(exchange);
+    this.#pipeline.accept(exchange);
+  }
+
+  // Node closes the connection some turns of the event loop after its end.
+  #trackExchange(exchange: CallerExchange): void {
+    const { socket } = exchange.request;
+    const others = this.#exchanges.get(socket) ?? [];
+    this.#exchanges.set(socket, [...others, exchange]);
+    if (!this.#observedSockets.has(socket)) {
+      this.#observedSockets.add(socket);
+      socket.once("end", () => {
+        this.#exchanges.get(socket)?.forEach((ended) => {
+          ended.handleEnd();
+        });
+      });
+    }
   }
 
   #resolveRequestId(request: http.IncomingMessage): RequestId {
--- /dev/null
+++ b/packages/entry/src/serving/arrival_queue.ts
@@ -0,0 +1,125 @@
+/** Orders the requests that a busy VM has read but not begun to serve. */
+
+import type { Clock } from "@limpetford/core/time/clock";
+
+import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
+
+/**
+ * Longest time for which callers may have left unnoticed while their requests are
+ * served or sent at once.
+ */
+const MAX_UNREAD_MS = 150;
+/** Time in a turn of the event loop in which requests are begun. */
+const TURN_BUDGET_MS = 10;
+
+interface QueuedStep {
+  readonly run: () => void;
+  readonly queuedAtMs: number;
+  /** Number of the turn in which it was queued. */
+  readonly turn: number;
+}
+
+/**
+ * Begins to serve what was read from callers. The close of a caller is read after
+ * its request, so while the event loop is behind, some of those callers have left.
+ * Then what was read waits until the connections have been read once more, and a
+ * turn of the loop begins only as much as lets it read them again soon, the oldest
+ * first.
+ */
+export class ArrivalQueue {
+  readonly #clock: Clock;
+  readonly #loop: EventLoopMonitor;
+  readonly #steps: QueuedStep[] = [];
+  #turn = 0;
+  #turnStartedAtMs = -Infinity;
+  #isTurnObserved = false;
+
+  /**
+   * Creates an empty queue.
+   *
+   * @param clock - measures the turns
+   * @param loop - tells how far the event loop is behind
+   */
+  constructor(clock: Clock, loop: EventLoopMonitor) {
+    this.#clock = clock;
+    this.#loop = loop;
+  }
+
+  /**
+   * Begins a request that was read: at once if the event loop is not behind, in
+   * its turn otherwise.
+   *
+   * @param run - begins to serve the request
+   */
+  begin(run: () => void): void {
+    const nowMs = this.#clock.readMonotonicMs();
+    this.#observeTurn(nowMs);
+    if (
+      this.#steps.length > 0 || this.#mayCallersHaveLeft() ||
+      nowMs - this.#turnStartedAtMs > TURN_BUDGET_MS
+    ) {
+      this.#add(run, nowMs);
+    } else {
+      run();
+    }
+  }
+
+  /**
+   * Sends a request that was begun before: at once unless its caller may have left
+   * unnoticed a while ago.
+   *
+   * @param run - sends the request if its caller is still there
+   */
+  send(run: () => void): void {
+    if (this.#mayCallersHaveLeft()) {
+      const nowMs = this.#clock.readMonotonicMs();
+      this.#observeTurn(nowMs);
+      this.#add(run, nowMs);
+    } else {
+      run();
+    }
+  }
+
+  #mayCallersHaveLeft(): boolean {
+    return this.#loop.maxUnreadMs > MAX_UNREAD_MS;
+  }
+
+  #add(run: () => void, queuedAtMs: number): void {
+    this.#steps.push({ run, queuedAtMs, turn: this.#turn });
+  }
+
+  #observeTurn(nowMs: number): void {
+    this.#loop.observeTurn();
+    if (this.#isTurnObserved) {
+      return;
+    }
+    this.#isTurnObserved = true;
+    this.#turnStartedAtMs = nowMs;
+    setImmediate(() => {
+      this.#isTurnObserved = false;
+      this.#turn += 1;
+      void this.#runSteps(this.#turn - 2);
+    });
+  }
+
+  // Waits for what a step has set going before it begins the next one, so that the
+  // budget covers that as well. Nothing is read meanwhile.
+  async #runSteps(lastTurn: number): Promise<void> {
+    const startedAtMs = this.#clock.readMonotonicMs();
+    let nowMs = startedAtMs;
+    while (nowMs - startedAtMs < TURN_BUDGET_MS) {
+      const [next] = this.#steps;
+      if (next === undefined || next.turn > lastTurn) {
+        break;
+      }
+      this.#steps.shift();
+      this.#loop.recordDelay(nowMs - next.queuedAtMs);
+      next.run();
+      await Promise.resolve();
+      nowMs = this.#clock.readMonotonicMs();
+    }
+    if (this.#steps.length > 0) {
+      this.#observeTurn(nowMs);
+    }
+  }
+}
--- /dev/null
+++ b/packages/entry/src/serving/arrival_queue_test.ts
@@ -0,0 +1,84 @@
+import { FakeClock } from "@limpetford/core/time/fake_clock";
+
+import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
+import { ArrivalQueue } from "./arrival_queue.ts";
+
+const HELD_UP_MS = 3_000;
+
+async function waitTurn(): Promise<void> {
+  await new Promise((resolve) => setImmediate(resolve));
+}
+
+describe("ArrivalQueue", () => {
+  let clock: FakeClock;
+  let loop: EventLoopMonitor;
+  let queue: ArrivalQueue;
+  let begun: string[];
+  beforeEach(() => {
+    clock = new FakeClock();
+    loop = new EventLoopMonitor(clock);
+    queue = new ArrivalQueue(clock, loop);
+    begun = [];
+  });
+
+  // Begins a request, which takes some time.
+  function begin(name: string, takesMs = 0): void {
+    queue.begin(() => {
+      begun.push(name);
+      clock.advance(takesMs);
+    });
+  }
+
+  it("begins and sends at once while the loop is not behind", () => {
+    begin("read");
+    queue.send(() => begun.push("sent"));
+    expect(begun).toEqual(["read", "sent"]);
+  });
+
+  // Guards against sending for callers whose close is the next thing to be read.
+  it("waits until the connections have been read once more", async () => {
+    clock.advance(HELD_UP_MS);
+    begin("read");
+    queue.send(() => begun.push("sent"));
+    await waitTurn();
+    expect(begun).toEqual([]);
+    await waitTurn();
+    await waitTurn();
+    expect(begun).toEqual(["read", "sent"]);
+  });
+
+  it("begins the oldest first, and a few in each turn", async () => {
+    clock.advance(HELD_UP_MS);
+    const names = Array.from({ length: 9 }, (_, index) => `request-${index}`);
+    for (const name of names) {
+      begin(name, 4);
+    }
+    const counts: number[] = [];
+    for (let turn = 0; turn < 6; turn++) {
+      await waitTurn();
+      counts.push(begun.length);
+    }
+    expect(begun).toEqual(names);
+    expect(counts).toMatchSnapshot();
+  });
+
+  it("leaves to later turns what a turn has no time for", async () => {
+    for (let index = 0; index < 6; index++) {
+      begin(`request-${index}`, 4);
+    }
+    expect(begun).toHaveLength(3);
+    for (let turn = 0; turn < 4; turn++) {
+      await waitTurn();
+    }
+    expect(begun).toHaveLength(6);
+  });
+
+  it("records for how long requests waited", async () => {
+    clock.advance(HELD_UP_MS);
+    begin("read");
+    clock.advance(40);
+    await waitTurn();
+    await waitTurn();
+    expect(loop.longestDelayMs).toBe(40);
+  });
+});
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -7,7 +7,6 @@
   AttemptSample,
   Placement,
   PlacementRequest,
-  PlacementVerdict,
 } from "../ports/server_router.ts";
 import { openAttemptConnection } from "./attempt_connection.ts";
 import { AttemptCounter } from "./attempt_counter.ts";
@@ -25,7 +24,11 @@
   mergeCauses,
   type RefusalCause,
 } from "./failure_refusals.ts";
-import { LazySlotRequest, UNUSED_SAMPLE } from "./lazy_slot_request.ts";
+import {
+  acquireSlot,
+  LazySlotRequest,
+  UNUSED_SAMPLE,
+} from "./lazy_slot_request.ts";
 import type { RefusalKind } from "./refusal.ts";
 import {
   isReplayable,
@@ -254,20 +257,17 @@
       isHedge,
     });
     this.#pendingPlacements += 1;
-    const verdict = await this.#chooseSlot(request);
-    this.#pendingPlacements -= 1;
+    const verdict = await acquireSlot(this.#ports.router, request);
     if (verdict.kind === "placed") {
-      this.#dispatch(request, verdict.placement);
-    } else if (!this.#isFinished && this.#winner === undefined) {
-      this.#refuseUnlessRunning(mergeCauses(this.#lastCause, verdict));
+      this.#dependencies.arrivals.send(() => {
+        this.#pendingPlacements -= 1;
+        this.#dispatch(request, verdict.placement);
+      });
+      return;
     }
-  }
-
-  async #chooseSlot(request: PlacementRequest): Promise<PlacementVerdict> {
-    try {
-      return await this.#ports.router.acquire(request);
-    } catch {
-      return { kind: "no-server", retryAfterMs: 1_000 };
+    this.#pendingPlacements -= 1;
+    if (!this.#isFinished && this.#winner === undefined) {
+      this.#refuseUnlessRunning(mergeCauses(this.#lastCause, verdict));
     }
   }
 
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -1,7 +1,6 @@
 /** A caller's request and the response to it. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Duplex } from "node:stream";
 
 import type { RandomSource } from "@limpetford/core/time/random_source";
 import type { RequestId } from "@limpetford/domain/ids";
@@ -31,7 +30,7 @@
   /** Returns true if the connection is to be closed after the response. */
   readonly isStopping: () => boolean;
   /** Called when the response is complete or its connection is closed. */
-  readonly releaseSocket: (socket: Duplex) => void;
+  readonly releaseExchange: (exchange: CallerExchange) => void;
 }
 
 /**
@@ -72,10 +71,9 @@
     this.maxUnreadMs = options.maxUnreadMs;
     this.forwarding = options.forwarding;
     this.#options = options;
-    const { socket } = request;
     response.on("close", () => {
       this.#handleClose();
-      options.releaseSocket(socket);
+      options.releaseExchange(this);
     });
     response.on("error", handleIgnoredError);
     request.on("error", handleIgnoredError);
@@ -179,12 +177,24 @@
     this.response.end(stored.body);
   }
 
+  /** Called when the caller has ended its connection, before it is closed. */
+  handleEnd(): void {
+    if (!this.response.writableEnded) {
+      this.#markDisconnected();
+    }
+  }
+
   #handleClose(): void {
-    if (this.response.writableFinished) {
-      return;
+    if (!this.response.writableFinished) {
+      this.#markDisconnected();
+    }
+  }
+
+  #markDisconnected(): void {
+    if (!this.#isCallerDisconnected) {
+      this.#isCallerDisconnected = true;
+      this.#disconnectListener?.();
     }
-    this.#isCallerDisconnected = true;
-    this.#disconnectListener?.();
   }
 }
 
--- a/packages/entry/src/serving/claimed_request_handler.ts
+++ b/packages/entry/src/serving/claimed_request_handler.ts
@@ -20,6 +20,7 @@
   buildOutboundRequest,
   refuseOverRate,
 } from "./admitted_exchange.ts";
+import type { ArrivalQueue } from "./arrival_queue.ts";
 import { AttemptSeries } from "./attempt_series.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
 import { ClaimSettler, ReplayBuffer } from "./claim_settler.ts";
@@ -41,6 +42,7 @@
     readonly backend: BackendConnectionPool;
     readonly peer: BackendConnectionPool;
   };
+  readonly arrivals: ArrivalQueue;
   readonly bodyBudget: BodyBudget;
   /** Maximum size of a response body that is kept for replay, in bytes. */
   readonly keptAnswerBytes: number;
@@ -170,6 +172,7 @@
           dialect: this.#options.dialect,
           connections: this.#options.connections.backend,
           peerConnections: this.#options.connections.peer,
+          arrivals: this.#options.arrivals,
         },
         {
           ...buildOutboundRequest(admitted, body, this.#options.dialect),
--- a/packages/entry/src/serving/lazy_slot_request.ts
+++ b/packages/entry/src/serving/lazy_slot_request.ts
@@ -6,8 +6,13 @@
 import type {
   AttemptSample,
   PlacementRequest,
+  PlacementVerdict,
+  ServerRouter,
 } from "../ports/server_router.ts";
 
+/** Retry delay told to callers if the router fails. */
+const FAILED_ROUTER_RETRY_MS = 1_000;
+
 /** Sample for a slot that is given back without being used. */
 export const UNUSED_SAMPLE: AttemptSample = {
   outcome: "cancelled",
@@ -63,3 +68,21 @@
     return this.#series.signal;
   }
 }
+
+/**
+ * Acquires a slot for an attempt.
+ *
+ * @param router - places the attempt
+ * @param request - the attempt
+ * @returns the slot, or why there is none; no server if the router fails
+ */
+export async function acquireSlot(
+  router: ServerRouter,
+  request: PlacementRequest,
+): Promise<PlacementVerdict> {
+  try {
+    return await router.acquire(request);
+  } catch {
+    return { kind: "no-server", retryAfterMs: FAILED_ROUTER_RETRY_MS };
+  }
+}
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -6,12 +6,14 @@
 
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import type { HopSpan } from "../telemetry/span_recorder.ts";
+import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import {
   type AdmittedExchange,
   buildOutboundRequest,
   readTraceparent,
   refuseOverRate,
 } from "./admitted_exchange.ts";
+import { ArrivalQueue } from "./arrival_queue.ts";
 import { AttemptSeries } from "./attempt_series.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
@@ -61,13 +63,14 @@
   readonly #claimedHandler: ClaimedRequestHandler;
   readonly #bodyBudget: BodyBudget;
   readonly #streamAboveBytes: number;
+  readonly #arrivals: ArrivalQueue;
   readonly #idleListeners: (() => void)[] = [];
   #inFlight = 0;
 
   /**
    * Prepares the pipeline.
    *
-   * @param dependencies - ports to the components of the VM, and the dialect
+   * @param dependencies - ports to the components of the VM, dialect and loop
    * @param connections - connection pools for backend servers and other VMs
    * @param options - memory limits
    */
@@ -75,6 +78,7 @@
     dependencies: {
       readonly ports: ServingPorts;
       readonly dialect: ServingDialect;
+      readonly loop: EventLoopMonitor;
     },
     connections: {
       readonly backend: BackendConnectionPool;
@@ -82,8 +86,9 @@
     },
     options: PipelineOptions = {},
   ) {
-    const { ports, dialect } = dependencies;
+    const { ports, dialect, loop } = dependencies;
     this.#ports = ports;
+    this.#arrivals = new ArrivalQueue(ports.clock, loop);
     this.#dialect = dialect;
     this.#connections = connections.backend;
     this.#peerConnections = connections.peer;
@@ -96,6 +101,7 @@
       ports,
       dialect,
       connections,
+      arrivals: this.#arrivals,
       bodyBudget: this.#bodyBudget,
       keptAnswerBytes: options.keptAnswerBytes ?? DEFAULT_STORED_RESPONSE_BYTES,
     });
@@ -123,17 +129,28 @@
   }
 
   /**
-   * Serves one request until it has ended; never rejects.
+   * Serves a request that was read, unless its caller leaves before its turn.
    *
    * @param exchange - exchange of the caller
    */
-  async serve(exchange: CallerExchange): Promise<void> {
+  accept(exchange: CallerExchange): void {
     this.#inFlight += 1;
+    this.#arrivals.begin(() => {
+      void this.#serve(exchange);
+    });
+  }
+
+  // Serves one request until it has ended; never rejects.
+  async #serve(exchange: CallerExchange): Promise<void> {
     const record = new RequestRecord(
       exchange.id,
       this.#ports.clock.readWallMs(),
     );
     this.explanations.add(record);
+    if (exchange.isCallerDisconnected) {
+      this.#complete(exchange, record);
+      return;
+    }
     try {
       const admission = this.#dialect.admit(exchange.request, exchange);
       if (admission.ok) {
@@ -266,6 +283,7 @@
           dialect: this.#dialect,
           connections: this.#connections,
           peerConnections: this.#peerConnections,
+          arrivals: this.#arrivals,
         },
         request,
         receiver,
--- a/packages/entry/src/serving/response_receiver.ts
+++ b/packages/entry/src/serving/response_receiver.ts
@@ -4,6 +4,7 @@
 
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import type { RequestContext } from "../ports/request_context.ts";
+import type { ArrivalQueue } from "./arrival_queue.ts";
 import type { ResponseHead } from "./backend_attempt.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
 import type { Refusal } from "./refusal.ts";
@@ -67,6 +68,8 @@
   readonly connections: BackendConnectionPool;
   /** Connections to the VMs that requests are forwarded to. */
   readonly peerConnections: BackendConnectionPool;
+  /** Delays attempts while callers may have left unnoticed. */
+  readonly arrivals: ArrivalQueue;
 }
 
 /**
