fix: a stopping VM refuses what cannot end before it stops

Callers saw their connection end without an answer: with servers that take 2.4 s, 29 requests taken 1.2 to 2.4 s after SIGTERM, bookings among them, were passed on and cut at the end of the grace.

Cause: requests are accepted until 0.6 of the grace and aborted at 0.9 of it, and nothing compared what a request may take with what is left.

Change: while a VM stops, a request is sent, also after it has waited or failed once, only if the longest recent request of its route would end in time; where fewer than ten are known, its deadline has to. Others are refused as not run (503, vm-stopping, come back at once), since their connection ends with the process.

Ruled out: forwarding to another VM, which would pass through the connection that is cut; the deadline alone (with routes that allow 5 s nearly everything is refused from the signal on, though most requests take 0.3 s).

A request that takes longer than any of its route in the last 10 to 20 s may still be cut.

--- a/packages/core/src/placement/outcome_recorder.ts
+++ b/packages/core/src/placement/outcome_recorder.ts
@@ -4,6 +4,7 @@
 import type { ServiceReach } from "../reach/service_reach.ts";
 import { EVIDENCE, type Evidence } from "./gray_failure_estimator.ts";
 import type { GrayShareEstimator } from "./gray_share_estimator.ts";
+import type { LongestDurations } from "./longest_durations.ts";
 import type { TakenSlot } from "./placement_decision.ts";
 import type { RouteSizeEstimator } from "./route_size_estimator.ts";
 import type { ServerEvidence } from "./server_evidence.ts";
@@ -16,6 +17,7 @@
 /** Estimators of one service. */
 export interface OutcomeRecorderOptions {
   readonly serviceTimes: ServiceTimeEstimator;
+  readonly durations: LongestDurations;
   readonly grayShares: GrayShareEstimator;
   readonly sizes: RouteSizeEstimator;
   readonly reach: ServiceReach;
@@ -44,8 +46,11 @@
    */
   record(slot: TakenSlot, sample: AttemptSample, nowMs: number): void {
     const { server, running, demand } = slot;
-    const { serviceTimes, sizes, reach } = this.#options;
+    const { serviceTimes, durations, sizes, reach } = this.#options;
     reach.recordAttempt(server.announced.id, sample, nowMs);
+    if (sample.outcome === "served" || sample.outcome === "failed") {
+      durations.record(demand.route, sample.totalMs, nowMs);
+    }
     switch (sample.outcome) {
       case "served":
         server.recordAnswered();
--- a/packages/core/src/placement/service_placement.ts
+++ b/packages/core/src/placement/service_placement.ts
@@ -7,6 +7,7 @@
 import { ServiceReach } from "../reach/service_reach.ts";
 import type { RandomSource } from "../time/random_source.ts";
 import { GrayShareEstimator } from "./gray_share_estimator.ts";
+import { LongestDurations } from "./longest_durations.ts";
 import { findNeglectedServer } from "./neglected_servers.ts";
 import { OutcomeRecorder } from "./outcome_recorder.ts";
 import { PeerLoads } from "./peer_loads.ts";
@@ -64,6 +65,8 @@
   readonly #peerLoads = new PeerLoads(this.servers);
   /** Requests that wait for a slot. */
   readonly waiting = new WaitQueue<T>();
+  /** Longest recent durations of the requests that servers have answered. */
+  readonly durations = new LongestDurations();
   readonly #serviceTimes = new ServiceTimeEstimator();
   readonly #sizes = new RouteSizeEstimator();
   readonly #retryTokens: RetryTokenBucket;
@@ -72,6 +75,7 @@
   readonly #unserved = new UnservedMeter();
   readonly #outcomes = new OutcomeRecorder({
     serviceTimes: this.#serviceTimes,
+    durations: this.durations,
     grayShares: this.#grayShares,
     sizes: this.#sizes,
     reach: this.reach,
--- a/packages/entry/src/dialect/problem_response.ts
+++ b/packages/entry/src/dialect/problem_response.ts
@@ -240,4 +240,5 @@
     title: "This VM has just started",
     retryAfterMs: STARTING_RETRY_MS,
   },
+  "vm-stopping": { status: 503, title: "This VM stops", retryAfterMs: 0 },
 };
--- a/packages/entry/src/fleet/fleet_drain.ts
+++ b/packages/entry/src/fleet/fleet_drain.ts
@@ -1,10 +1,13 @@
 /** Stops a VM gracefully within its grace period. */
 
+import type { Clock } from "@limpetford/core/time/clock";
+
 import type { CallerServer } from "../http/caller_server.ts";
 import type { FleetExchange } from "./fleet_exchange.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { PlacementRouter } from "./placement_router.ts";
+import type { StopSchedule } from "./stop_schedule.ts";
 
 /** Share of the grace period for which a draining VM still accepts requests. */
 const LINGER_SHARE = 0.6;
@@ -24,6 +27,8 @@
   readonly exchange: FleetExchange;
   readonly router: PlacementRouter;
   readonly callerServer: CallerServer;
+  readonly stop: StopSchedule;
+  readonly clock: Clock;
   readonly log: FleetLog;
 }
 
@@ -45,8 +50,11 @@
 
   /** Waits until no request is in flight or they have to be aborted. */
   async run(): Promise<void> {
-    const { gracePeriodMs, peers, exchange, router, callerServer, log } =
+    const { gracePeriodMs, peers, exchange, router, callerServer } =
       this.#options;
+    const { stop, clock, log } = this.#options;
+    const forcedStopMs = gracePeriodMs * FORCED_STOP_SHARE;
+    stop.setStopAt(clock.readMonotonicMs() + forcedStopMs);
     log.record("drain-started", { inFlight: callerServer.inFlight });
     peers.isLeaving = true;
     peers.ownLeaderSinceMs = undefined;
@@ -55,7 +63,7 @@
       ? gracePeriodMs * LINGER_SHARE
       : Math.min(IDLE_LINGER_MS, gracePeriodMs * LINGER_SHARE);
     const forcedStop = new Promise<void>((resolve) => {
-      setTimeout(resolve, gracePeriodMs * FORCED_STOP_SHARE).unref();
+      setTimeout(resolve, forcedStopMs).unref();
     });
     await Promise.race([callerServer.drain(lingerMs), forcedStop]);
     log.record("stopped", { inFlight: callerServer.inFlight });
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -28,6 +28,7 @@
 import { ServerReachMonitor } from "./server_reach_monitor.ts";
 import { ServiceBalancers } from "./service_balancers.ts";
 import { SharedRateLimiter } from "./shared_rate_limiter.ts";
+import { StopSchedule } from "./stop_schedule.ts";
 import { StoreEraRecord } from "./store_era_record.ts";
 import {
   ConfigurationHandler,
@@ -77,6 +78,7 @@
   readonly #exchange: FleetExchange;
   readonly #client: StoreClient;
   readonly #loop: EventLoopMonitor;
+  readonly #stop = new StopSchedule();
   readonly #calls: FleetCallClient;
   readonly #callerServer: CallerServer;
   readonly #directory: DirectoryServer;
@@ -197,6 +199,7 @@
       traffic,
       reach: this.#reach,
       forwarder,
+      stop: this.#stop,
       notifyChange,
     });
     const limiter = new SharedRateLimiter({
@@ -316,6 +319,8 @@
       exchange: this.#exchange,
       router: this.#router,
       callerServer: this.#callerServer,
+      stop: this.#stop,
+      clock: this.#dependencies.clock,
       log: this.#dependencies.log,
     }).run();
     await this.stop();
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -14,6 +14,7 @@
   type RetryVerdict,
   ServerRouter,
 } from "../ports/server_router.ts";
+import { UNUSED_SAMPLE } from "../serving/lazy_slot_request.ts";
 import type { CrashGuard } from "./crash_guard.ts";
 import { buildDemand, readServiceId } from "./demand_builder.ts";
 import type { FleetLog } from "./fleet_log.ts";
@@ -28,12 +29,15 @@
   PendingPlacement,
   ServiceBalancers,
 } from "./service_balancers.ts";
+import type { StopSchedule } from "./stop_schedule.ts";
 import type { ZoneTraffic } from "./zone_traffic.ts";
 
 /** Time between checks of the queued requests. */
 const QUEUE_CHECK_INTERVAL_MS = 20;
 /** Retry delay told to callers of a service without available servers. */
 const NO_SERVER_RETRY_MS = 500;
+/** Callers can ask another VM at once. */
+const STOPPING_VERDICT = { kind: "vm-stopping", retryAfterMs: 0 } as const;
 /** How long after a request this VM counts as serving callers. */
 const RECENT_REQUEST_MS = 2_000;
 /** A hedge is sent after this multiple of the expected service time. */
@@ -51,6 +55,7 @@
   readonly traffic: ZoneTraffic;
   readonly reach: ServerReachMonitor;
   readonly forwarder: RequestForwarder;
+  readonly stop: StopSchedule;
   /** Called when there is something to tell the other VMs. */
   readonly notifyChange: () => void;
 }
@@ -115,6 +120,9 @@
     if (service === undefined) {
       return { kind: "no-server", retryAfterMs: NO_SERVER_RETRY_MS };
     }
+    if (!this.#mayEndInTime(service, request)) {
+      return STOPPING_VERDICT;
+    }
     if (request.isHedge && !service.takeRetry()) {
       return { kind: "overloaded", retryAfterMs: 0 };
     }
@@ -192,6 +200,12 @@
     };
   }
 
+  #mayEndInTime(service: Balancer, { context }: PlacementRequest): boolean {
+    const { stop, clock } = this.#options;
+    const nowMs = clock.readMonotonicMs();
+    return stop.mayEndInTime(context, service.durations, nowMs);
+  }
+
   #acquireSlot(service: Balancer, pending: PendingPlacement): void {
     const { clock } = this.#options;
     const demand = buildDemand(
@@ -218,7 +232,14 @@
   ): void {
     switch (decision.kind) {
       case "placed":
-        if (decision.slot.needsToken) {
+        if (!this.#mayEndInTime(service, pending.request)) {
+          service.complete(
+            decision.slot,
+            UNUSED_SAMPLE,
+            this.#options.clock.readMonotonicMs(),
+          );
+          pending.resolve(STOPPING_VERDICT);
+        } else if (decision.slot.needsToken) {
           void this.#acquireToken(service, pending, decision.slot);
         } else {
           this.#settlePlaced(service, pending, { slot: decision.slot });
--- /dev/null
+++ b/packages/entry/src/fleet/stop_schedule_test.ts
@@ -0,0 +1,60 @@
+import { LongestDurations } from "@limpetford/core/placement/longest_durations";
+
+import { buildPlacementRequest } from "../fakes/placement_request.ts";
+import { StopSchedule } from "./stop_schedule.ts";
+
+const STOP_AT_MS = 5_000;
+
+describe("StopSchedule", () => {
+  it.each([
+    {
+      name: "not stopping",
+      stopAtMs: Infinity,
+      longestMs: 9_000,
+      expected: true,
+    },
+    {
+      name: "ends in time",
+      stopAtMs: STOP_AT_MS,
+      longestMs: 1_000,
+      expected: true,
+    },
+    {
+      name: "may last longer",
+      stopAtMs: STOP_AT_MS,
+      longestMs: 2_500,
+      expected: false,
+    },
+    {
+      name: "little known",
+      stopAtMs: STOP_AT_MS,
+      longestMs: undefined,
+      expected: false,
+    },
+    {
+      name: "little known, deadline before the stop",
+      stopAtMs: STOP_AT_MS,
+      longestMs: undefined,
+      deadlineAtMs: 4_900,
+      expected: true,
+    },
+  ])("decides on a request at 3,000 ms: $name", (testCase) => {
+    const { context } = buildPlacementRequest("r");
+    const durations = new LongestDurations();
+    const { longestMs } = testCase;
+    if (longestMs !== undefined) {
+      for (let count = 0; count < 10; count++) {
+        durations.record(context.route.id, longestMs, 3_000);
+      }
+    }
+    const schedule = new StopSchedule();
+    schedule.setStopAt(testCase.stopAtMs);
+    const request = {
+      route: context.route,
+      deadlineAtMs: testCase.deadlineAtMs ?? 6_000,
+    };
+    expect(schedule.mayEndInTime(request, durations, 3_000)).toBe(
+      testCase.expected,
+    );
+  });
+});
--- a/packages/entry/src/ports/server_router.ts
+++ b/packages/entry/src/ports/server_router.ts
@@ -45,6 +45,8 @@
   | { readonly kind: "overloaded"; readonly retryAfterMs: number }
   /** Certainly not run: the request has crashed servers. */
   | { readonly kind: "quarantined"; readonly retryAfterMs: number }
+  /** Certainly not run: this VM stops before the request may have ended. */
+  | { readonly kind: "vm-stopping"; readonly retryAfterMs: number }
   /** Certainly not run: no server accepts new requests. */
   | { readonly kind: "no-server"; readonly retryAfterMs: number };
 
--- a/packages/entry/src/serving/refusal.ts
+++ b/packages/entry/src/serving/refusal.ts
@@ -37,7 +37,8 @@
   | "route-unknown"
   | "still-running"
   | "vm-busy"
-  | "vm-starting";
+  | "vm-starting"
+  | "vm-stopping";
 
 /** Reason and outcome of a request that limpetford answers itself. */
 export interface Refusal {
