fix: a copy of an earlier response is told apart, and what follows it is delivered

Cause: the first response on a connection was taken for the answer, or the connection was given up with the answer on it. A response without an identifier always counted as ours.

Change: a connection remembers the identifiers of its last eight answered requests. A response that bears one of them is read and left, and the next one is received on the same connection, which sends nothing more (undici has no call that only receives, so the connection is muted for it). A response without an identifier leaves nothing to tell a copy by, so its connection is not kept; on the product's own path, where servers need not name attempts, this holds for refusals. A response that bears the identifier of none of these is malformed, as before.

A true answer in the same packet as the copy is still lost (502, nothing untrue is said).

--- a/packages/entry/src/dialect/forwarded_messages.ts
+++ b/packages/entry/src/dialect/forwarded_messages.ts
@@ -4,7 +4,7 @@
 import { parseRetryAfterMs } from "@limpetford/platform/store/http_headers";
 
 import type { RequestContext } from "../ports/request_context.ts";
-import type { ResponseHead } from "../serving/backend_attempt.ts";
+import type { ResponseHead } from "../serving/attempt_listener.ts";
 import {
   buildForwardingHeader,
   FORWARDED_RESULT,
--- a/packages/entry/src/dialect/native_dialect.ts
+++ b/packages/entry/src/dialect/native_dialect.ts
@@ -7,11 +7,12 @@
 import type { Result } from "@limpetford/domain/result";
 
 import type { RequestContext } from "../ports/request_context.ts";
-import { buildAttemptRequest } from "../serving/attempt_request.ts";
-import type {
-  AttemptRequest,
-  ResponseHead,
-} from "../serving/backend_attempt.ts";
+import type { ResponseHead } from "../serving/attempt_listener.ts";
+import type { AttemptRequest } from "../serving/attempt_message.ts";
+import {
+  buildAttemptRequest,
+  readAttemptId,
+} from "../serving/attempt_request.ts";
 import type { CallerExchange } from "../serving/caller_exchange.ts";
 import type { PresentedKey } from "../serving/caller_key.ts";
 import type { Refusal } from "../serving/refusal.ts";
@@ -103,10 +104,10 @@
   }
 
   override readResponse(head: ResponseHead): ResponseClassification {
-    return {
-      outcome: decideOutcome(head),
-      isNotRun: isCertainlyNotRun(head),
-    };
+    const isNotRun = isCertainlyNotRun(head);
+    // Servers need not name the attempt.
+    const isIdentified = !isNotRun || readAttemptId(head.headers) !== undefined;
+    return { outcome: decideOutcome(head), isNotRun, isIdentified };
   }
 
   override listResponseHeaders(requestId: RequestId): readonly string[] {
--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -21,10 +21,8 @@
 } from "@limpetford/platform/store/http_headers";
 
 import type { FleetState } from "../fleet/fleet_state.ts";
-import type {
-  AttemptRequest,
-  ResponseHead,
-} from "../serving/backend_attempt.ts";
+import type { ResponseHead } from "../serving/attempt_listener.ts";
+import type { AttemptRequest } from "../serving/attempt_message.ts";
 import { hashCallerKey, type PresentedKey } from "../serving/caller_key.ts";
 import { type Refusal, refuseNotRun } from "../serving/refusal.ts";
 import type { Admission, Arrival } from "../serving/request_admission.ts";
@@ -206,9 +204,9 @@
           this.#state.active?.configuration.version ?? -1,
         ),
       ],
-      isResponseToAttempt: (headers) => {
-        const { requestId } = parseServerResponse(0, headers);
-        return requestId === undefined || requestId === id;
+      identity: {
+        id,
+        readId: readRequestId,
       },
       mayEndWithConnection: true,
       mayDispatch,
@@ -222,12 +220,17 @@
     if (isForwarded) {
       return readForwardedResponse({ status, headers });
     }
-    const { isNotRun, isSigned, notice } = parseServerResponse(status, headers);
-    if (isNotRun) {
-      return { outcome: "shed", isNotRun, notice };
-    }
+    const { isNotRun, isSigned, notice, requestId } = parseServerResponse(
+      status,
+      headers,
+    );
     const isServed = status < FIRST_FAILED_STATUS && isSigned;
-    return { outcome: isServed ? "served" : "failed", isNotRun, notice };
+    return {
+      outcome: isNotRun ? "shed" : isServed ? "served" : "failed",
+      isNotRun,
+      isIdentified: requestId !== undefined,
+      notice,
+    };
   }
 
   override listResponseHeaders(): readonly string[] {
@@ -382,6 +385,10 @@
   }
 }
 
+function readRequestId(headers: ResponseHead["headers"]): string | undefined {
+  return parseServerResponse(0, headers).requestId;
+}
+
 function countHeaderBytes(rawHeaders: readonly string[]): number {
   return rawHeaders.reduce(
     (sum, text) => sum + text.length + HEADER_OVERHEAD_BYTES / 2,
--- a/packages/entry/src/dialect/response_classification.ts
+++ b/packages/entry/src/dialect/response_classification.ts
@@ -2,7 +2,7 @@
 
 import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
 
-import type { ResponseHead } from "../serving/backend_attempt.ts";
+import type { ResponseHead } from "../serving/attempt_listener.ts";
 import { HEADER } from "./header_names.ts";
 import type { ResponseClassification } from "./serving_dialect.ts";
 
--- a/packages/entry/src/dialect/serving_dialect.ts
+++ b/packages/entry/src/dialect/serving_dialect.ts
@@ -10,10 +10,8 @@
 
 import type { RequestContext } from "../ports/request_context.ts";
 import type { AttemptOutcome } from "../ports/server_router.ts";
-import type {
-  AttemptRequest,
-  ResponseHead,
-} from "../serving/backend_attempt.ts";
+import type { ResponseHead } from "../serving/attempt_listener.ts";
+import type { AttemptRequest } from "../serving/attempt_message.ts";
 import type { CallerExchange } from "../serving/caller_exchange.ts";
 import type { PresentedKey } from "../serving/caller_key.ts";
 import type { Refusal } from "../serving/refusal.ts";
@@ -40,6 +38,11 @@
   readonly outcome: Extract<AttemptOutcome, "served" | "failed" | "shed">;
   /** True if the backend server certainly did not run the request. */
   readonly isNotRun: boolean;
+  /**
+   * False if a copy of the response could not be told from the response to a later
+   * request; absent if servers send none.
+   */
+  readonly isIdentified?: boolean;
   /** True if no other attempt may follow, whatever the outcome. */
   readonly isFinal?: boolean;
   /** Delay before the caller should retry, in ms; absent without one. */
--- /dev/null
+++ b/packages/entry/src/serving/attempt_message.ts
@@ -0,0 +1,61 @@
+/** The HTTP request of one attempt, and how its response is recognized. */
+
+import type { Readable } from "node:stream";
+
+import type { ResponseHead } from "./attempt_listener.ts";
+
+/** The HTTP request of one attempt. */
+export interface AttemptRequest {
+  readonly method: string;
+  readonly target: string;
+  /** Alternating names and values. */
+  readonly headers: string[];
+  readonly body: Buffer | Readable | undefined;
+  /** Identifies the response to this attempt. */
+  readonly identity: ResponseIdentity;
+  /** True if the close of the connection may mark the end of the body. */
+  readonly mayEndWithConnection: boolean;
+  /** Called immediately before the first byte; undefined to allow it always. */
+  readonly mayDispatch: (() => boolean) | undefined;
+}
+
+/** Identifier that a response to an attempt bears. */
+export interface ResponseIdentity {
+  readonly id: string;
+  /** Reads the identifier of a response; undefined if it bears none. */
+  readonly readId: (headers: ResponseHead["headers"]) => string | undefined;
+}
+
+/** What a response that arrives for an attempt answers. */
+export const RESPONSE_OWNER = {
+  attempt: "attempt",
+  /** An earlier request on the same connection, once more. */
+  earlier: "earlier",
+  /** Another request, or none. */
+  other: "other",
+} as const;
+/** One of the values in `RESPONSE_OWNER`. */
+export type ResponseOwner = typeof RESPONSE_OWNER[keyof typeof RESPONSE_OWNER];
+
+/**
+ * Finds out what a response answers.
+ *
+ * @param identity - identifier that the response should bear
+ * @param headers - headers of the response
+ * @param answeredIds - identifiers of requests that were answered before on the
+ * same connection, the oldest first
+ * @returns the attempt unless the response bears another identifier
+ */
+export function findResponseOwner(
+  { id, readId }: ResponseIdentity,
+  headers: ResponseHead["headers"],
+  answeredIds: readonly string[],
+): ResponseOwner {
+  const responseId = readId(headers);
+  if (responseId === undefined || responseId === id) {
+    return RESPONSE_OWNER.attempt;
+  }
+  return answeredIds.includes(responseId)
+    ? RESPONSE_OWNER.earlier
+    : RESPONSE_OWNER.other;
+}
--- /dev/null
+++ b/packages/entry/src/serving/attempt_message_test.ts
@@ -0,0 +1,20 @@
+import { findResponseOwner, RESPONSE_OWNER } from "./attempt_message.ts";
+
+describe("findResponseOwner", () => {
+  const identity = {
+    id: "own",
+    readId: (headers: Readonly<Record<string, unknown>>): string | undefined =>
+      headers["id"]?.toString(),
+  };
+  it.each([
+    { name: "its identifier", id: "own", owner: RESPONSE_OWNER.attempt },
+    { name: "none", id: undefined, owner: RESPONSE_OWNER.attempt },
+    { name: "an earlier one", id: "first", owner: RESPONSE_OWNER.earlier },
+    { name: "an unknown one", id: "else", owner: RESPONSE_OWNER.other },
+  ])("tells whose response bears $name", ({ id, owner }) => {
+    const headers = id === undefined ? {} : { id };
+    expect(findResponseOwner(identity, headers, ["first", "second"])).toBe(
+      owner,
+    );
+  });
+});
--- a/packages/entry/src/serving/attempt_request.ts
+++ b/packages/entry/src/serving/attempt_request.ts
@@ -2,7 +2,8 @@
 
 import { HEADER } from "../dialect/header_names.ts";
 import type { AttemptDetails } from "../dialect/serving_dialect.ts";
-import type { AttemptRequest } from "./backend_attempt.ts";
+import type { ResponseHead } from "./attempt_listener.ts";
+import type { AttemptRequest } from "./attempt_message.ts";
 import type { OutboundRequest } from "./response_receiver.ts";
 
 /**
@@ -42,16 +43,23 @@
     target,
     headers,
     body,
-    isResponseToAttempt: (responseHeaders) =>
-      isEchoOf(responseHeaders[HEADER.attemptId], attemptId),
+    identity: {
+      id: attemptId,
+      readId: readAttemptId,
+    },
     mayEndWithConnection: false,
     mayDispatch,
   };
 }
 
-function isEchoOf(
-  echo: string | string[] | undefined,
-  identifier: string,
-): boolean {
-  return echo === undefined || echo === identifier;
+/**
+ * Reads the identifier of the attempt that a response names.
+ *
+ * @param headers - headers of the response
+ * @returns the identifier; undefined if there is none
+ */
+export function readAttemptId(
+  headers: ResponseHead["headers"],
+): string | undefined {
+  return headers[HEADER.attemptId]?.toString();
 }
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -10,13 +10,13 @@
 } from "../ports/server_router.ts";
 import { openAttemptConnection } from "./attempt_connection.ts";
 import { AttemptCounter } from "./attempt_counter.ts";
-import { openAttemptSpan } from "./attempt_span.ts";
 import {
   type AttemptFailure,
   AttemptListener,
-  BackendAttempt,
   type ResponseHead,
-} from "./backend_attempt.ts";
+} from "./attempt_listener.ts";
+import { openAttemptSpan } from "./attempt_span.ts";
+import { BackendAttempt } from "./backend_attempt.ts";
 import { BufferingReceiver } from "./buffering_receiver.ts";
 import {
   buildRefusal,
@@ -37,6 +37,7 @@
   type SeriesDependencies,
 } from "./response_receiver.ts";
 import {
+  recordHead,
   type RunningAttempt,
   RunningAttempts,
   type UnusedAttempt,
@@ -153,13 +154,9 @@
       return;
     }
     const { isForwarded } = running.placement;
-    const { outcome, isNotRun, notice, isFinal, retryAfterMs } = this.#dialect
-      .readResponse(head, isForwarded);
-    if (notice !== undefined) {
-      running.placement.observeNotice?.(notice);
-    }
-    running.outcome = outcome;
-    running.status = head.status;
+    const classified = this.#dialect.readResponse(head, isForwarded);
+    const { isNotRun, isFinal, retryAfterMs } = classified;
+    recordHead(running, head.status, classified);
     if (!isNotRun) {
       this.#mayHaveRun = true;
     }
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -1,11 +1,20 @@
 /** Sends a request once to a backend server and reads the response. */
 
-import type { Readable } from "node:stream";
-
 import type { Clock } from "@limpetford/core/time/clock";
 import type { Dispatcher } from "undici";
 
 import type { AttemptOutcome, AttemptSample } from "../ports/server_router.ts";
+import { buildAttemptHandler } from "./attempt_handler.ts";
+import type {
+  AttemptFailure,
+  AttemptListener,
+  ResponseHead,
+} from "./attempt_listener.ts";
+import {
+  type AttemptRequest,
+  findResponseOwner,
+  RESPONSE_OWNER,
+} from "./attempt_message.ts";
 import type { BackendConnection } from "./backend_connection_pool.ts";
 import { checkResponseFraming } from "./response_framing.ts";
 
@@ -17,64 +26,6 @@
 /** The same for each byte of the body; a chunk of one byte takes six. */
 const MAX_FRAMING_BYTES_PER_BODY_BYTE = 16;
 
-/** Status and headers of a response as received. */
-export interface ResponseHead {
-  readonly status: number;
-  /** Values by lower-case name. */
-  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
-}
-
-/** Reason why an attempt gave no complete response. */
-export interface AttemptFailure {
-  readonly outcome: Exclude<AttemptOutcome, "served" | "failed" | "shed">;
-  /** False if certainly no byte of the request was sent. */
-  readonly mayHaveRun: boolean;
-  /**
-   * True if the response is not valid: it belongs to another attempt, does not
-   * show where it ends, or is followed by bytes that belong to no request.
-   */
-  readonly isMalformed: boolean;
-  /** True if `AttemptRequest.mayDispatch` returned false. */
-  readonly isDispatchDenied: boolean;
-}
-
-/**
- * Receives the response of an attempt. `receiveEnd` or `receiveFailure` is the
- * last call.
- */
-export abstract class AttemptListener {
-  /** Receives status and headers; informational responses are skipped. */
-  abstract receiveHead(attempt: BackendAttempt, head: ResponseHead): void;
-  /**
-   * Receives a chunk of the body.
-   *
-   * @returns false to pause the response until `BackendAttempt.resume`
-   */
-  abstract receiveChunk(attempt: BackendAttempt, chunk: Buffer): boolean;
-  /** Receives the last chunk, if any, and the end of a complete response. */
-  abstract receiveEnd(attempt: BackendAttempt, last: Buffer | undefined): void;
-  /** Receives the failure that ends the attempt. */
-  abstract receiveFailure(
-    attempt: BackendAttempt,
-    failure: AttemptFailure,
-  ): void;
-}
-
-/** The HTTP request of one attempt. */
-export interface AttemptRequest {
-  readonly method: string;
-  readonly target: string;
-  /** Alternating names and values. */
-  readonly headers: string[];
-  readonly body: Buffer | Readable | undefined;
-  /** Checks that a response that names an attempt names this one. */
-  readonly isResponseToAttempt: (headers: ResponseHead["headers"]) => boolean;
-  /** True if the close of the connection may mark the end of the body. */
-  readonly mayEndWithConnection: boolean;
-  /** Called immediately before the first byte; undefined to allow it always. */
-  readonly mayDispatch: (() => boolean) | undefined;
-}
-
 /**
  * Sends a request once over its own connection and reports the response to a
  * listener. The connection returns to the pool only after a complete response.
@@ -99,6 +50,11 @@
   #wasReset = false;
   #isFinished = false;
   #isDispatchDenied = false;
+  /** True while a copy of an earlier response is read. */
+  #isSkipping = false;
+  /** True once the response to this attempt is expected behind such a copy. */
+  #isReceivingNext = false;
+  #isConnectionKept = true;
 
   /**
    * Prepares an attempt; nothing is sent before {@link start}.
@@ -151,7 +107,7 @@
           idempotent: false,
           blocking: true,
         },
-        createHandler(this),
+        buildAttemptHandler(this),
       );
     } catch {
       this.handleError();
@@ -167,6 +123,11 @@
     this.#reportFailure({ outcome, isMalformed: false });
   }
 
+  /** Closes the connection after this response instead of keeping it. */
+  dropConnection(): void {
+    this.#isConnectionKept = false;
+  }
+
   /** Continues a response that the listener has paused. */
   resume(): void {
     if (!this.#isFinished) {
@@ -204,6 +165,10 @@
       controller.abort(new Error("attempt has already ended"));
       return;
     }
+    if (this.#isReceivingNext && this.#connection.isMuted) {
+      this.#controller = controller;
+      return;
+    }
     if (this.#sentAtMs !== undefined) {
       // The HTTP client lost its socket and is about to send the request again.
       this.#reportFailure({
@@ -238,7 +203,16 @@
       return;
     }
     this.#firstByteAtMs = this.#clock.readMonotonicMs();
-    const isForThisAttempt = this.request.isResponseToAttempt(headers);
+    const { answeredIds } = this.#connection;
+    const owner = findResponseOwner(
+      this.request.identity,
+      headers,
+      answeredIds,
+    );
+    if (owner === RESPONSE_OWNER.earlier) {
+      this.#isSkipping = true;
+      return;
+    }
     this.#isSelfDelimited = checkResponseFraming(
       this.request.method,
       status,
@@ -246,7 +220,9 @@
     );
     const isDelimited = this.#isSelfDelimited ||
       this.request.mayEndWithConnection;
-    if (!isForThisAttempt || !isDelimited || this.#hasHead) {
+    if (
+      owner === RESPONSE_OWNER.other || !isDelimited || this.#hasHead
+    ) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
       return;
     }
@@ -264,6 +240,9 @@
       return;
     }
     this.#responseBytes += chunk.length;
+    if (this.#isSkipping) {
+      return;
+    }
     const previous = this.#pendingChunk;
     this.#pendingChunk = chunk;
     this.#scheduleFlush();
@@ -277,6 +256,10 @@
     if (this.#isFinished) {
       return;
     }
+    if (this.#isSkipping) {
+      this.#receiveNext();
+      return;
+    }
     this.#hasEnded = true;
     this.#wasReset = !this.#isSelfDelimited && !this.#connection.hasPeer();
     this.#scheduleFlush();
@@ -343,11 +326,36 @@
     } else {
       this.#isFinished = true;
       this.#connection.dataListener = undefined;
-      this.#connection.release(this.#clock.readMonotonicMs());
+      this.#releaseConnection();
       this.#listener.receiveEnd(this, chunk);
     }
   }
 
+  // A copy of an earlier response has ended; the response to this attempt follows.
+  #receiveNext(): void {
+    this.#isSkipping = false;
+    this.#isReceivingNext = true;
+    if (
+      !this.#connection.receiveNext(
+        this.request.method,
+        buildAttemptHandler(this),
+      )
+    ) {
+      this.#reportFailure({ outcome: "cut", isMalformed: true });
+    }
+  }
+
+  #releaseConnection(): void {
+    if (this.#isConnectionKept && !this.#isReceivingNext) {
+      this.#connection.release(
+        this.request.identity.id,
+        this.#clock.readMonotonicMs(),
+      );
+    } else {
+      this.#connection.abort();
+    }
+  }
+
   #isCutOff(): boolean {
     return !this.#isSelfDelimited && this.#connection.hasBeenReset();
   }
@@ -374,23 +382,3 @@
     });
   }
 }
-
-function createHandler(attempt: BackendAttempt): Dispatcher.DispatchHandler {
-  return {
-    onRequestStart(controller) {
-      attempt.handleRequestStart(controller);
-    },
-    onResponseStart(_controller, status, headers) {
-      attempt.handleResponseStart(status, headers);
-    },
-    onResponseData(_controller, chunk) {
-      attempt.handleChunk(chunk);
-    },
-    onResponseEnd() {
-      attempt.handleEnd();
-    },
-    onResponseError() {
-      attempt.handleError();
-    },
-  };
-}
--- a/packages/entry/src/serving/backend_attempt_test.ts
+++ b/packages/entry/src/serving/backend_attempt_test.ts
@@ -1,11 +1,8 @@
 import * as net from "node:net";
 
 import { SystemClock } from "../vm/system_clock.ts";
-import {
-  type AttemptFailure,
-  AttemptListener,
-  BackendAttempt,
-} from "./backend_attempt.ts";
+import { type AttemptFailure, AttemptListener } from "./attempt_listener.ts";
+import { BackendAttempt } from "./backend_attempt.ts";
 import { BackendConnectionPool } from "./backend_connection_pool.ts";
 
 const HEAD = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
@@ -70,7 +67,7 @@
       target: "/",
       headers: [],
       body: undefined,
-      isResponseToAttempt: () => true,
+      identity: { id: "", readId: () => undefined },
       mayEndWithConnection: true,
       mayDispatch: undefined,
     },
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -4,11 +4,13 @@
 
 import type { Clock } from "@limpetford/core/time/clock";
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
-import { buildConnector, Client } from "undici";
+import { buildConnector, Client, type Dispatcher } from "undici";
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
 const DEFAULT_MAX_HEADER_BYTES = 32_768;
+/** Earlier requests of a connection of which a copy of the response is expected. */
+const MAX_ANSWERED_IDS = 8;
 /** Message of undici's error for a response to no request. */
 const UNSOLICITED_RESPONSE_MESSAGE = "bad response";
 /** Prefix of the error codes of undici's HTTP parser. */
@@ -46,6 +48,10 @@
   dataListener: (() => void) | undefined;
   /** Number of requests that this connection has completed. */
   servedCount = 0;
+  /** Identifiers of the last of these requests, the oldest first. */
+  answeredIds: readonly string[] = [];
+  /** True if nothing that is written to the socket is sent any more. */
+  isMuted = false;
   /** Monotonic time of the last release, in milliseconds. */
   idleSinceMs = 0;
   readonly #release: (connection: BackendConnection) => void;
@@ -79,10 +85,12 @@
   /**
    * Returns the connection to its pool after a complete response.
    *
+   * @param id - identifier of the request that was answered
    * @param nowMs - monotonic time, in milliseconds
    */
-  release(nowMs: number): void {
+  release(id: string, nowMs: number): void {
     this.servedCount += 1;
+    this.answeredIds = [...this.answeredIds, id].slice(-MAX_ANSWERED_IDS);
     this.idleSinceMs = nowMs;
     this.#release(this);
   }
@@ -123,6 +131,34 @@
     return this.socket?.remoteAddress !== undefined;
   }
 
+  /**
+   * Receives one more response, without sending anything for it. The connection
+   * sends no request afterwards.
+   *
+   * @param method - method of the request that the response answers
+   * @param handler - receives the response
+   * @returns false if the connection is closed
+   */
+  receiveNext(method: string, handler: Dispatcher.DispatchHandler): boolean {
+    const { socket } = this;
+    if (socket === undefined || socket.destroyed || this.isMuted) {
+      return false;
+    }
+    // The HTTP client has no call that only receives.
+    socket.write = (): boolean => true;
+    this.isMuted = true;
+    try {
+      return this.client.dispatch({
+        method: method === "HEAD" ? "HEAD" : "GET",
+        path: "/",
+        idempotent: false,
+        blocking: false,
+      }, handler) || true;
+    } catch {
+      return false;
+    }
+  }
+
   /** Destroys the socket and aborts the request that uses it. */
   abort(): void {
     this.client.destroy().catch(() => undefined);
@@ -255,6 +291,10 @@
     const client = new Client(`${scheme}://${address}`, {
       pipelining: 1,
       connect: (options, callback) => {
+        if (connection.isMuted) {
+          callback(new Error("the connection has ended"), null);
+          return;
+        }
         connect(options, (...outcome) => {
           connection.socket = outcome[1] ?? undefined;
           connection.socket?.on("readable", () => {
--- a/packages/entry/src/serving/buffering_receiver.ts
+++ b/packages/entry/src/serving/buffering_receiver.ts
@@ -1,6 +1,6 @@
 /** Buffers the start of a response before it is forwarded. */
 
-import type { ResponseHead } from "./backend_attempt.ts";
+import type { ResponseHead } from "./attempt_listener.ts";
 import type { Refusal } from "./refusal.ts";
 import { ResponseReceiver } from "./response_receiver.ts";
 
--- a/packages/entry/src/serving/claimed_request_receiver.ts
+++ b/packages/entry/src/serving/claimed_request_receiver.ts
@@ -3,7 +3,7 @@
 import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
 
 import { selectResponseHeaders } from "../dialect/header_filter.ts";
-import type { ResponseHead } from "./backend_attempt.ts";
+import type { ResponseHead } from "./attempt_listener.ts";
 import type { ClaimSettler, ReplayBuffer } from "./claim_settler.ts";
 import type { Refusal } from "./refusal.ts";
 import { ResponseReceiver } from "./response_receiver.ts";
--- a/packages/entry/src/serving/exchange_receiver.ts
+++ b/packages/entry/src/serving/exchange_receiver.ts
@@ -1,7 +1,7 @@
 /** Sends a backend server's response to the caller. */
 
 import { selectResponseHeaders } from "../dialect/header_filter.ts";
-import type { ResponseHead } from "./backend_attempt.ts";
+import type { ResponseHead } from "./attempt_listener.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { Refusal } from "./refusal.ts";
 import { checkResponseFraming } from "./response_framing.ts";
--- a/packages/entry/src/serving/failure_refusals.ts
+++ b/packages/entry/src/serving/failure_refusals.ts
@@ -2,7 +2,7 @@
 
 import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
 
-import type { AttemptFailure } from "./backend_attempt.ts";
+import type { AttemptFailure } from "./attempt_listener.ts";
 import { type Refusal, type RefusalKind, refuseNotRun } from "./refusal.ts";
 
 /** Reason of a refusal, without the outcome of the request. */
--- a/packages/entry/src/serving/peer_forwarder.ts
+++ b/packages/entry/src/serving/peer_forwarder.ts
@@ -7,9 +7,10 @@
 import {
   type AttemptFailure,
   AttemptListener,
-  BackendAttempt,
   type ResponseHead,
-} from "./backend_attempt.ts";
+} from "./attempt_listener.ts";
+import { readAttemptId } from "./attempt_request.ts";
+import { BackendAttempt } from "./backend_attempt.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { PresentedKey } from "./caller_key.ts";
@@ -91,8 +92,8 @@
         target: context.target,
         headers: this.#buildHeaders(),
         body,
-        isResponseToAttempt: (headers) =>
-          headers[HEADER.attemptId] === undefined,
+        // The other VM has taken the identifiers of attempts off.
+        identity: { id: "", readId: readAttemptId },
         mayEndWithConnection: false,
         mayDispatch: undefined,
       },
--- a/packages/entry/src/serving/response_receiver.ts
+++ b/packages/entry/src/serving/response_receiver.ts
@@ -5,7 +5,7 @@
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import type { RequestContext } from "../ports/request_context.ts";
 import type { ArrivalQueue } from "./arrival_queue.ts";
-import type { ResponseHead } from "./backend_attempt.ts";
+import type { ResponseHead } from "./attempt_listener.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
 import type { Refusal } from "./refusal.ts";
 import type { RequestRecord } from "./request_explanations.ts";
--- a/packages/entry/src/serving/running_attempts.ts
+++ b/packages/entry/src/serving/running_attempts.ts
@@ -1,5 +1,6 @@
 /** Tracks the attempts of one request that have not ended. */
 
+import type { ResponseClassification } from "../dialect/serving_dialect.ts";
 import type {
   AttemptOutcome,
   AttemptSample,
@@ -35,6 +36,28 @@
   readonly isNotRun: boolean;
 }
 
+/**
+ * Records what the head of a response says.
+ *
+ * @param running - the attempt
+ * @param status - HTTP status of the response
+ * @param classified - meaning of status and headers
+ */
+export function recordHead(
+  running: RunningAttempt,
+  status: number,
+  { outcome, notice, isIdentified }: ResponseClassification,
+): void {
+  running.outcome = outcome;
+  running.status = status;
+  if (notice !== undefined) {
+    running.placement.observeNotice?.(notice);
+  }
+  if (isIdentified === false) {
+    running.attempt.dropConnection();
+  }
+}
+
 /**
  * List of the running attempts of one request, with their states.
  */
