fix: a success without its server's signature is not delivered

Callers saw a 200 that no server had signed, or one with an empty body, where a head had ended early with a blank line: the dialect counted it as failed, but delivered it where no other attempt was allowed, as for bookings.

Change: the check is part of receiving a head: on the platform a success without a signature is malformed (502, may have run). A success that has no length and ends without a byte of its body is cut; an empty body has a length. Heads that break off at any byte were refused before.

Not covered: a success without a length that ends after a part of its body in an orderly close, which nothing tells from a whole one.

--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -209,6 +209,8 @@
         readId: readRequestId,
       },
       mayEndWithConnection: true,
+      isProven: ({ status, headers }) =>
+        parseServerResponse(status, headers).isSigned,
       mayDispatch,
     };
   }
--- a/packages/entry/src/serving/attempt_message.ts
+++ b/packages/entry/src/serving/attempt_message.ts
@@ -15,6 +15,8 @@
   readonly identity: ResponseIdentity;
   /** True if the close of the connection may mark the end of the body. */
   readonly mayEndWithConnection: boolean;
+  /** Checks that a success proves that the server has run the request. */
+  readonly isProven: (head: ResponseHead) => boolean;
   /** Called immediately before the first byte; undefined to allow it always. */
   readonly mayDispatch: (() => boolean) | undefined;
 }
--- a/packages/entry/src/serving/attempt_request.ts
+++ b/packages/entry/src/serving/attempt_request.ts
@@ -48,6 +48,7 @@
       readId: readAttemptId,
     },
     mayEndWithConnection: false,
+    isProven: () => true,
     mayDispatch,
   };
 }
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -25,6 +25,7 @@
 const MAX_FRAMING_BYTES = 262_144;
 /** The same for each byte of the body; a chunk of one byte takes six. */
 const MAX_FRAMING_BYTES_PER_BODY_BYTE = 16;
+const FIRST_UNSUCCESSFUL_STATUS = 300;
 
 /**
  * Sends a request once over its own connection and reports the response to a
@@ -50,6 +51,7 @@
   #wasReset = false;
   #isFinished = false;
   #isDispatchDenied = false;
+  #isSuccess = false;
   /** True while a copy of an earlier response is read. */
   #isSkipping = false;
   /** True once the response to this attempt is expected behind such a copy. */
@@ -213,6 +215,7 @@
       this.#isSkipping = true;
       return;
     }
+    this.#isSuccess = status < FIRST_UNSUCCESSFUL_STATUS;
     this.#isSelfDelimited = checkResponseFraming(
       this.request.method,
       status,
@@ -220,8 +223,11 @@
     );
     const isDelimited = this.#isSelfDelimited ||
       this.request.mayEndWithConnection;
+    const isProven = !this.#isSuccess ||
+      this.request.isProven({ status, headers });
     if (
-      owner === RESPONSE_OWNER.other || !isDelimited || this.#hasHead
+      owner === RESPONSE_OWNER.other || !isDelimited || !isProven ||
+      this.#hasHead
     ) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
       return;
@@ -321,7 +327,9 @@
       }
     } else if (this.#connection.hasUnsolicitedBytes()) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
-    } else if (this.#wasReset || this.#isCutOff()) {
+    } else if (
+      this.#wasReset || this.#isCutOff() || this.#hasNoBody(chunk)
+    ) {
       this.#reportFailure({ outcome: "cut", isMalformed: false });
     } else {
       this.#isFinished = true;
@@ -356,6 +364,12 @@
     }
   }
 
+  // An empty body would have a length; without one, the server has broken off.
+  #hasNoBody(chunk: Buffer | undefined): boolean {
+    return this.#isSuccess && !this.#isSelfDelimited &&
+      this.#responseBytes === 0 && chunk === undefined;
+  }
+
   #isCutOff(): boolean {
     return !this.#isSelfDelimited && this.#connection.hasBeenReset();
   }
--- a/packages/entry/src/serving/backend_attempt_test.ts
+++ b/packages/entry/src/serving/backend_attempt_test.ts
@@ -68,6 +68,7 @@
       headers: [],
       body: undefined,
       identity: { id: "", readId: () => undefined },
+      isProven: () => true,
       mayEndWithConnection: true,
       mayDispatch: undefined,
     },
--- a/packages/entry/src/serving/peer_forwarder.ts
+++ b/packages/entry/src/serving/peer_forwarder.ts
@@ -95,6 +95,7 @@
         // The other VM has taken the identifiers of attempts off.
         identity: { id: "", readId: readAttemptId },
         mayEndWithConnection: false,
+        isProven: () => true,
         mayDispatch: undefined,
       },
       this.#options.connections.acquire(to),
