fix: a leader that is behind asks for one more leader in its zone

The number of leaders followed the rate of requests against 300 a second for each core; what a leader bears depends on more.

Change: a leader whose timers or requests run over 100 ms late, and which gets at least a third of its nominal rate, reports its load as above its capacity, so that its zone adds a leader by the rule that there is. Messages keep their form. A line vm-overloaded says so.

Ruled out: more leaders for the same load (messages between leaders of all zones grow with the square of their number, and bytes between zones are dear); leaving the leader out of the directory (all its callers would move at once).

Evidence: leader_count_test (the load of one that is behind adds a leader; before, 1 leader for the same figures).

--- a/packages/core/src/fleet/leader_count.ts
+++ b/packages/core/src/fleet/leader_count.ts
@@ -7,6 +7,51 @@
 /** A leader is removed below this share of the remaining leaders' capacity. */
 const REMOVE_BELOW_LOAD = 0.5;
 
+/** Delay from which a leader gets more requests than its processor bears. */
+const OVERLOADED_DELAY_MS = 100;
+/** Share of a leader's capacity below which its delay has other causes. */
+const MIN_OVERLOADED_SHARE = 1 / 3;
+/** Load of an overloaded leader, as a share of its capacity. */
+const OVERLOADED_SHARE = 1.1;
+
+/** What a leader knows of its own load. */
+export interface LeaderLoad {
+  readonly requestsPerSecond: number;
+  /** Processor cores, also fractions of one. */
+  readonly cores: number;
+  /** Longest recent delay of timers and requests, in milliseconds. */
+  readonly delayMs: number;
+}
+
+/**
+ * Checks whether a leader is behind because of its requests.
+ *
+ * @param load - rate of its requests, its size and its delay
+ * @returns false if it is in time, or gets too few requests to be their fault
+ */
+export function isLeaderOverloaded(
+  { requestsPerSecond, cores, delayMs }: LeaderLoad,
+): boolean {
+  const capacity = cores * REQUESTS_PER_SECOND_PER_CORE;
+  return delayMs > OVERLOADED_DELAY_MS &&
+    requestsPerSecond > MIN_OVERLOADED_SHARE * capacity;
+}
+
+/**
+ * Estimates the load of a leader. One that is overloaded has reached its capacity,
+ * however few requests it gets.
+ *
+ * @param load - rate of its requests, its size and its delay
+ * @returns requests per second
+ */
+export function estimateLeaderLoad(load: LeaderLoad): number {
+  const { requestsPerSecond, cores } = load;
+  const capacity = cores * REQUESTS_PER_SECOND_PER_CORE;
+  return isLeaderOverloaded(load)
+    ? Math.max(requestsPerSecond, OVERLOADED_SHARE * capacity)
+    : requestsPerSecond;
+}
+
 /**
  * Decides how many leaders a zone needs. The gap between the two thresholds is
  * a hysteresis, so that callers move as little as possible.
--- a/packages/core/src/fleet/leader_count_test.ts
+++ b/packages/core/src/fleet/leader_count_test.ts
@@ -1,4 +1,4 @@
-import { decideLeaderCount } from "./leader_count.ts";
+import { decideLeaderCount, estimateLeaderLoad } from "./leader_count.ts";
 
 describe("decideLeaderCount", () => {
   const cores = [0.5, 0.5, 0.5, 0.5];
@@ -18,3 +18,31 @@
     expect(decideLeaderCount(2, 100, [])).toBe(1);
   });
 });
+
+describe("estimateLeaderLoad", () => {
+  const cases = [
+    { name: "in time", rate: 120, delayMs: 20, expected: 120 },
+    { name: "behind with few requests", rate: 30, delayMs: 600, expected: 30 },
+    { name: "behind", rate: 120, delayMs: 600, expected: 165 },
+    {
+      name: "behind above its capacity",
+      rate: 400,
+      delayMs: 600,
+      expected: 400,
+    },
+  ];
+  it.each(cases)("of a leader $name", ({ rate, delayMs, expected }) => {
+    const load = { requestsPerSecond: rate, cores: 0.5, delayMs };
+    expect(estimateLeaderLoad(load)).toBeCloseTo(expected);
+  });
+
+  // Guards against a leader that falls behind while the VMs of its zone rest.
+  it("adds a leader while one is behind below its nominal capacity", () => {
+    const cores = [0.5, 0.5, 0.5];
+    const load = { requestsPerSecond: 120, cores: 0.5, delayMs: 600 };
+    expect(decideLeaderCount(1, load.requestsPerSecond, cores)).toBe(1);
+    expect(decideLeaderCount(1, estimateLeaderLoad(load), cores)).toBe(2);
+    const both = 2 * estimateLeaderLoad(load);
+    expect(decideLeaderCount(2, both, cores)).toBe(3);
+  });
+});
--- a/packages/entry/src/fleet/fleet_peers.ts
+++ b/packages/entry/src/fleet/fleet_peers.ts
@@ -37,7 +37,7 @@
   leaderSinceMs: number | undefined;
   /** Monotonic time at which `leaderSinceMs` was last true. */
   leaderKnownAtMs: number;
-  /** Rate of its callers' requests; 0 unless it is a leader. */
+  /** Load that its callers are to it; 0 unless it is a leader. */
   requestsPerSecond: number;
   /** Version of its configuration; -1 without one, undefined if not known. */
   configurationVersion: number | undefined;
@@ -77,7 +77,7 @@
   readonly #startedAtMs: number;
   /** Which VMs reach the backend servers. */
   readonly reach = new VmReachTable();
-  /** Rate at which callers send requests to this VM. */
+  /** Load that callers are to this VM, in requests per second. */
   ownRequestsPerSecond = 0;
   readonly #leaderCounts = new Map<ZoneId, number>();
   #leaders: readonly Vm[] = [];
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -109,6 +109,12 @@
     meaning: "the VM that the callers of the zone should use has changed",
     fields: { zone: "text", lead: "text", before: "text" },
   },
+  "vm-overloaded": {
+    level: "warn",
+    meaning:
+      "the VM serves requests later than it could read them; it asks for one more leader in its zone",
+    fields: { delayMs: "number", requestsPerSecond: "number" },
+  },
   "peer-lost": {
     level: "warn",
     meaning: "another VM did not respond",
--- a/packages/entry/src/fleet/zone_leadership.ts
+++ b/packages/entry/src/fleet/zone_leadership.ts
@@ -1,9 +1,15 @@
 /** Whether this VM leads its zone, and who leads it otherwise. */
 
+import {
+  estimateLeaderLoad,
+  isLeaderOverloaded,
+  type LeaderLoad,
+} from "@limpetford/core/fleet/leader_count";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { VmId } from "@limpetford/domain/ids";
 import type { Vm } from "@limpetford/domain/vm";
 
+import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { FleetReach } from "./fleet_reach.ts";
@@ -17,6 +23,7 @@
   readonly balancers: ServiceBalancers;
   readonly limiter: SharedRateLimiter;
   readonly reach: Pick<FleetReach, "update" | "verify">;
+  readonly loop: EventLoopMonitor;
   readonly clock: Clock;
   readonly log: FleetLog;
 }
@@ -25,6 +32,7 @@
 export class ZoneLeadership {
   readonly #options: ZoneLeadershipOptions;
   #zoneLeader: VmId | undefined;
+  #isOverloaded = false;
 
   /**
    * Starts without a known leader.
@@ -65,8 +73,15 @@
    * @returns true if this VM is one of them
    */
   update(): boolean {
-    const { peers, self, clock, limiter, balancers, reach } = this.#options;
-    peers.ownRequestsPerSecond = limiter.readRequestsPerSecond();
+    const { peers, self, clock, limiter, loop, balancers, reach } =
+      this.#options;
+    const load = {
+      requestsPerSecond: limiter.readRequestsPerSecond(),
+      cores: self.weight,
+      delayMs: loop.longestDelayMs,
+    };
+    peers.ownRequestsPerSecond = estimateLeaderLoad(load);
+    this.#recordOverload(load);
     reach.update();
     const leaders = peers.listZoneLeaders(self.zone);
     const isLeader = leaders.some((vm) =>
@@ -83,6 +98,17 @@
     return isLeader;
   }
 
+  #recordOverload(load: LeaderLoad): void {
+    const isOverloaded = isLeaderOverloaded(load);
+    if (isOverloaded && !this.#isOverloaded) {
+      this.#options.log.record("vm-overloaded", {
+        delayMs: Math.round(load.delayMs),
+        requestsPerSecond: Math.round(load.requestsPerSecond),
+      });
+    }
+    this.#isOverloaded = isOverloaded;
+  }
+
   #recordLeader(leader: VmId | undefined): void {
     const { self, log } = this.#options;
     if (leader === this.#zoneLeader) {
