fix: a VM that was held up delivers answers that lay unread past their timeout

In Node timers run before connections are read, so a busy loop gives up what it already has.

Change: timeouts take the way that sending takes: while something may lie unread for over 150 ms, they wait until the connections have been read. On the product's own path the same, by reading; no test of it there.

--- a/packages/entry/src/serving/arrival_queue.ts
+++ b/packages/entry/src/serving/arrival_queue.ts
@@ -1,12 +1,12 @@
-/** Orders the requests that a busy VM has read but not begun to serve. */
+/** Orders what a busy VM does before and after it has read its connections. */
 
 import type { Clock } from "@limpetford/core/time/clock";
 
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 
 /**
- * Longest time for which callers may have left unnoticed while their requests are
- * served or sent at once.
+ * Longest time for which a caller's close or a response may have lain unread when a
+ * step that rests on it is taken.
  */
 const MAX_UNREAD_MS = 150;
 /** Time in a turn of the event loop in which requests are begun. */
@@ -55,7 +55,7 @@
     const nowMs = this.#clock.readMonotonicMs();
     this.#observeTurn(nowMs);
     if (
-      this.#steps.length > 0 || this.#mayCallersHaveLeft() ||
+      this.#steps.length > 0 || this.#mayBeUnread() ||
       nowMs - this.#turnStartedAtMs > TURN_BUDGET_MS
     ) {
       this.#add(run, nowMs);
@@ -65,13 +65,14 @@
   }
 
   /**
-   * Sends a request that was begun before: at once unless its caller may have left
-   * unnoticed a while ago.
+   * Takes a step that rests on what has arrived: at once unless something may have
+   * lain unread for a while.
    *
-   * @param run - sends the request if its caller is still there
+   * @param run - sends a request whose caller may have left, or gives up waiting for
+   * a response that may have arrived
    */
-  send(run: () => void): void {
-    if (this.#mayCallersHaveLeft()) {
+  runOnceRead(run: () => void): void {
+    if (this.#mayBeUnread()) {
       const nowMs = this.#clock.readMonotonicMs();
       this.#observeTurn(nowMs);
       this.#add(run, nowMs);
@@ -80,7 +81,7 @@
     }
   }
 
-  #mayCallersHaveLeft(): boolean {
+  #mayBeUnread(): boolean {
     return this.#loop.maxUnreadMs > MAX_UNREAD_MS;
   }
 
--- a/packages/entry/src/serving/arrival_queue_test.ts
+++ b/packages/entry/src/serving/arrival_queue_test.ts
@@ -31,7 +31,7 @@
 
   it("begins and sends at once while the loop is not behind", () => {
     begin("read");
-    queue.send(() => begun.push("sent"));
+    queue.runOnceRead(() => begun.push("sent"));
     expect(begun).toEqual(["read", "sent"]);
   });
 
@@ -39,7 +39,7 @@
   it("waits until the connections have been read once more", async () => {
     clock.advance(HELD_UP_MS);
     begin("read");
-    queue.send(() => begun.push("sent"));
+    queue.runOnceRead(() => begun.push("sent"));
     await waitTurn();
     expect(begun).toEqual([]);
     await waitTurn();
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -256,7 +256,7 @@
     this.#pendingPlacements += 1;
     const verdict = await acquireSlot(this.#ports.router, request);
     if (verdict.kind === "placed") {
-      this.#dependencies.arrivals.send(() => {
+      this.#dependencies.arrivals.runOnceRead(() => {
         this.#pendingPlacements -= 1;
         this.#dispatch(request, verdict.placement);
       });
--- a/packages/entry/src/serving/claimed_request_handler.ts
+++ b/packages/entry/src/serving/claimed_request_handler.ts
@@ -153,6 +153,7 @@
     const { exchange, context } = admitted;
     const settler = new ClaimSettler(this.#ports.ledger, claim);
     return new Promise((resolve) => {
+      let hasEnded = false;
       const caller = new ExchangeReceiver(exchange, () => {
         admitted.record.status = caller.status;
       });
@@ -161,6 +162,7 @@
         settler,
         replayBuffer: new ReplayBuffer(this.#options.keptAnswerBytes),
         complete: () => {
+          hasEnded = true;
           clearTimeout(callerTimer);
           clearTimeout(routeTimer);
           resolve();
@@ -180,15 +182,23 @@
         },
         receiver,
       );
+      const { arrivals } = this.#options;
       const callerTimer = setTimeout(() => {
-        if (series.hasDispatched) {
-          receiver.expireCaller(refuseUnknown("deadline-passed"));
-        } else {
-          series.expire();
-        }
+        arrivals.runOnceRead(() => {
+          if (hasEnded) {
+            return;
+          }
+          if (series.hasDispatched) {
+            receiver.expireCaller(refuseUnknown("deadline-passed"));
+          } else {
+            series.expire();
+          }
+        });
       }, this.#readRemainingMs(admitted));
       const routeTimer = setTimeout(() => {
-        series.expire();
+        arrivals.runOnceRead(() => {
+          series.expire();
+        });
       }, context.route.deadlineMs);
       exchange.setDisconnectListener(() => {
         series.resume();
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -291,7 +291,9 @@
       const remainingMs = context.deadlineAtMs -
         this.#ports.clock.readMonotonicMs();
       const timer = setTimeout(() => {
-        series.expire();
+        this.#arrivals.runOnceRead(() => {
+          series.expire();
+        });
       }, remainingMs);
       exchange.setDisconnectListener(() => {
         series.cancel();
--- a/packages/entry/src/serving/response_receiver.ts
+++ b/packages/entry/src/serving/response_receiver.ts
@@ -68,7 +68,7 @@
   readonly connections: BackendConnectionPool;
   /** Connections to the VMs that requests are forwarded to. */
   readonly peerConnections: BackendConnectionPool;
-  /** Delays attempts while callers may have left unnoticed. */
+  /** Delays attempts while callers may have left unnoticed, and timeouts. */
   readonly arrivals: ArrivalQueue;
 }
 
--- /dev/null
+++ b/packages/standins/src/fleet/unread_answers_test.ts
@@ -0,0 +1,53 @@
+import { execFileSync } from "node:child_process";
+
+import { waitMs } from "../process_soak/wait_ms.ts";
+import { FleetProcesses } from "./fleet_processes.ts";
+import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
+
+const KEY = "key-of-dance";
+const STATUS_OK = 200;
+const PROCESSING_MS = 300;
+/** The VM is held up from before the answers until after the route's timeout. */
+const SENT_BEFORE_MS = 150;
+const HELD_UP_MS = 3_200;
+const CALLER_TIME_LEFT_MS = 8_000;
+
+// Guards against answers that are thrown away for a timeout, although they lay
+// unread at a VM that was behind.
+describe("answers that arrived while a VM was held up", () => {
+  let fleet: FleetProcesses;
+  beforeAll(() => {
+    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+  });
+  beforeEach(async () => {
+    fleet = new FleetProcesses();
+    await fleet.start({ servers: 4, zones: [1] });
+  });
+  afterEach(async () => {
+    await fleet.stop();
+  });
+
+  it("are delivered, also after the timeout", async () => {
+    const [vm] = fleet.vms;
+    if (vm === undefined) {
+      throw new Error("the fleet has no VM");
+    }
+    for (const server of fleet.servers) {
+      server.processingMs = PROCESSING_MS;
+    }
+    const sent = Array.from({ length: 10 }, (_, index) =>
+      fleet.send(vm, {
+        path: `/book/${index}`,
+        key: KEY,
+        method: "POST",
+        body: "deposit",
+        timeLeftMs: CALLER_TIME_LEFT_MS,
+      }));
+    await waitMs(SENT_BEFORE_MS);
+    vm.sendSignal("SIGSTOP");
+    await waitMs(HELD_UP_MS);
+    vm.sendSignal("SIGCONT");
+    const statuses = (await Promise.all(sent)).map(({ status }) => status);
+    expect(statuses).toEqual(sent.map(() => STATUS_OK));
+  });
+});
