--- a/packages/entry/src/serving/arrival_queue.ts
+++ b/packages/entry/src/serving/arrival_queue.ts
@@ -24,7 +24,7 @@
  * its request, so while the event loop is behind, some of those callers have left.
  * Then what was read waits until the connections have been read once more, and a
  * turn of the loop begins only as much as lets it read them again soon, the oldest
- * first.
+ * first. Attempts and timeouts of requests that were begun wait in the same way.
  */
 export class ArrivalQueue {
   readonly #clock: Clock;
