test: what must be at the servers before a VM is held up; names from the stand-ins' list

The test now waits until all ten are at a server; all ten must be delivered, as before. wire_names_test: a header's name stood in broken_head_test.

--- a/packages/standins/src/fleet/broken_head_test.ts
+++ b/packages/standins/src/fleet/broken_head_test.ts
@@ -1,6 +1,7 @@
 import { execFileSync } from "node:child_process";
 
 import type { CallerResponse } from "../platform/caller_client.ts";
+import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type {
   RawResponse,
   ReceivedRequest,
@@ -21,7 +22,9 @@
   readonly body: string;
 }
 
-const SIGNED = ["HTTP/1.1 200 OK", "server-signature: s"];
+const STATUS_LINE = "HTTP/1.1 200 OK";
+const SIGNATURE_LINE = `${PROTOCOL_HEADER.signature}: s`;
+const SIGNED = [STATUS_LINE, SIGNATURE_LINE];
 const FORMS: readonly HeadForm[] = [
   {
     name: "a length",
@@ -31,9 +34,9 @@
   {
     name: "a length before the signature",
     lines: [
-      SIGNED[0] ?? "",
+      STATUS_LINE,
       `content-length: ${BODY.length}`,
-      "server-signature: s",
+      SIGNATURE_LINE,
     ],
     body: BODY,
   },
@@ -171,7 +174,7 @@
       }
       const unsigned = new Map(
         [...await sendAll(answers)].filter(([path]) =>
-          !(answers.get(path)?.bytes.includes("server-signature") ?? false)
+          !(answers.get(path)?.bytes.includes(SIGNATURE_LINE) ?? false)
         ),
       );
       expectTruth(unsigned);
--- a/packages/standins/src/fleet/unread_answers_test.ts
+++ b/packages/standins/src/fleet/unread_answers_test.ts
@@ -6,9 +6,9 @@
 
 const KEY = "key-of-dance";
 const STATUS_OK = 200;
-const PROCESSING_MS = 300;
+const REQUEST_COUNT = 10;
+const PROCESSING_MS = 1_000;
 /** The VM is held up from before the answers until after the route's timeout. */
-const SENT_BEFORE_MS = 150;
 const HELD_UP_MS = 3_200;
 const CALLER_TIME_LEFT_MS = 8_000;
 
@@ -27,6 +27,10 @@
     await fleet.stop();
   });
 
+  function countRuns(): number {
+    return fleet.servers.reduce((sum, server) => sum + server.countRuns(), 0);
+  }
+
   it("are delivered, also after the timeout", async () => {
     const [vm] = fleet.vms;
     if (vm === undefined) {
@@ -35,15 +39,18 @@
     for (const server of fleet.servers) {
       server.processingMs = PROCESSING_MS;
     }
-    const sent = Array.from({ length: 10 }, (_, index) =>
-      fleet.send(vm, {
-        path: `/book/${index}`,
-        key: KEY,
-        method: "POST",
-        body: "deposit",
-        timeLeftMs: CALLER_TIME_LEFT_MS,
-      }));
-    await waitMs(SENT_BEFORE_MS);
+    const sent = Array.from(
+      { length: REQUEST_COUNT },
+      (_, index) =>
+        fleet.send(vm, {
+          path: `/book/${index}`,
+          key: KEY,
+          method: "POST",
+          body: "deposit",
+          timeLeftMs: CALLER_TIME_LEFT_MS,
+        }),
+    );
+    await fleet.waitUntil(() => countRuns() === REQUEST_COUNT);
     vm.sendSignal("SIGSTOP");
     await waitMs(HELD_UP_MS);
     vm.sendSignal("SIGCONT");
