fix: a VM that has restarted is not ignored by those that called it first

The VMs of the other zone had the newer configuration and were ignored, for as long as the test looked.

Cause: a VM that called the restarted one before hearing of the restart said that it knew the receiver; it meant the earlier process. The new process took it for itself and never sent its own record, and the caller drops all messages of a process whose record it lacks, so the two never joined. Leaders that do this share no loads, evidence, limits or configuration. Class: a message for an earlier process of a VM is taken for the present one.

Ruled out: a copy of the store without the VM list (joins in 1.6 s); lost calls (none in the logs); slow reads of the store (both VMs read it within 50 ms).

Change: the receiver believes that its record is known only where the message echoes the clock of its own process; such an echo was there already. No change of the messages. A VM whose reply comes from a new process is called again at once, not after 1.2 s of silence.

--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -314,7 +314,7 @@
   async #sendExchange(vm: Vm, partner: Partner): Promise<void> {
     const { peers, clock, log } = this.#options;
     const peer = peers.getPeer(vm);
-    const isFirstContact = !Number.isFinite(peer.heardAtMs);
+    const isUnheard = !Number.isFinite(peer.heardAtMs);
     const message = this.#messages.build(peer, partner.evidence);
     partner.evidence = [];
     partner.isCalling = true;
@@ -327,7 +327,7 @@
     partner.isCalling = false;
     if (reply.ok) {
       this.#messages.apply(reply.value, sentAtMs);
-      if (isFirstContact) {
+      if (isUnheard || reply.value.startedAtMs !== peer.startedAtMs) {
         // The reply shows which data the other VM lacks, so send it right away.
         partner.nextAtMs = 0;
       }
--- a/packages/entry/src/fleet/fleet_peers.ts
+++ b/packages/entry/src/fleet/fleet_peers.ts
@@ -166,7 +166,8 @@
       // The sender has restarted. Its next message carries its new record.
       return;
     }
-    peer.hasOwnRecord = message.knowsReceiver;
+    peer.hasOwnRecord = message.knowsReceiver &&
+      this.#isForThisProcess(message);
     peer.heardAtMs = this.#clock.readMonotonicMs();
     peer.suspectedUntilMs = 0;
     peer.isLeaving = message.isLeaving;
@@ -187,6 +188,12 @@
     this.#leadersComputedAtMs = -Infinity;
   }
 
+  // The sender may know only an earlier process of this VM, whose record it
+  // keeps until this one has sent its own.
+  #isForThisProcess({ echo }: SyncMessage): boolean {
+    return echo?.startedAtMs === this.#self.incarnation.startedAtMs;
+  }
+
   /**
    * Marks a VM that did not answer as unavailable for a while and not a leader.
    *
--- a/packages/entry/src/fleet/sync_messages_test.ts
+++ b/packages/entry/src/fleet/sync_messages_test.ts
@@ -181,6 +181,24 @@
     expect(a.crashes.registry.findStatus("crashing")).toBe("suspect");
   });
 
+  // Guards against VMs that ignore each other for good: the restarted one took
+  // a message for its earlier process as proof that its new record is known.
+  it("is heard by a VM that called it before it knew of the restart", () => {
+    b.state.applyConfiguration({
+      configuration: CONFIGURATION,
+      position: POSITION,
+    });
+    sendExchange();
+    sendExchange();
+    a = new ExchangeSide("a", clock, { startedAtMs: 2 });
+    a.state.applyVm(b.self);
+    const early = b.messages.build(b.peers.getPeer(buildExchangeVm("a")), []);
+    a.messages.apply(early, -Infinity);
+    sendExchange();
+    expect(b.state.findVm(a.self.incarnation.vm)).toEqual(a.self);
+    expect(a.state.active?.configuration.version).toBe(CONFIGURATION.version);
+  });
+
   // Guards against VMs that start together and tell each other that nothing is
   // known.
   it("informs a VM that has started only if the sender is informed", () => {
