fix: a request's time counts from its arrival where it lay unread

Change: how late the regular timer is, or has just been, is taken as the time for which what is read in that turn lay unread. Node 20 accepts one connection in a turn of the event loop, so the others wait longer: AcceptQueueMonitor counts the time without an empty queue, and half of it, or the pause at its beginning, for each connection. At most a third of a request's time counts, since callers leave after that, and nothing is refused for an estimate. The wait for accept also counts as delay of the VM (vm-overloaded), which it did not before.

Ruled out: the bound maxUnreadMs, which is up to half a second at a VM that rests; the delay of the timer alone (19 of 20 requests still got the full time, as they were accepted in later turns).

--- a/packages/entry/src/dialect/native_dialect.ts
+++ b/packages/entry/src/dialect/native_dialect.ts
@@ -7,6 +7,7 @@
 import type { Result } from "@limpetford/domain/result";
 
 import type { RequestContext } from "../ports/request_context.ts";
+import type { Arrival } from "../serving/arrival.ts";
 import type { ResponseHead } from "../serving/attempt_listener.ts";
 import type { AttemptRequest } from "../serving/attempt_message.ts";
 import {
@@ -16,11 +17,7 @@
 import type { CallerExchange } from "../serving/caller_exchange.ts";
 import type { PresentedKey } from "../serving/caller_key.ts";
 import type { Refusal } from "../serving/refusal.ts";
-import {
-  type Admission,
-  admitRequest,
-  type Arrival,
-} from "../serving/request_admission.ts";
+import { type Admission, admitRequest } from "../serving/request_admission.ts";
 import type { OutboundRequest } from "../serving/response_receiver.ts";
 import type { ServingPorts } from "../serving/serving_ports.ts";
 import { selectRequestHeaders } from "./header_filter.ts";
--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -21,11 +21,12 @@
 } from "@limpetford/platform/store/http_headers";
 
 import type { FleetState } from "../fleet/fleet_state.ts";
+import { type Arrival, estimateArrivalMs } from "../serving/arrival.ts";
 import type { ResponseHead } from "../serving/attempt_listener.ts";
 import type { AttemptRequest } from "../serving/attempt_message.ts";
 import { hashCallerKey, type PresentedKey } from "../serving/caller_key.ts";
 import { type Refusal, refuseNotRun } from "../serving/refusal.ts";
-import type { Admission, Arrival } from "../serving/request_admission.ts";
+import type { Admission } from "../serving/request_admission.ts";
 import type { OutboundRequest } from "../serving/response_receiver.ts";
 import {
   buildForwardedHeaders,
@@ -37,6 +38,7 @@
   toForwardedResult,
 } from "./forwarding_headers.ts";
 import { isHopByHop, parseConnectionOptions } from "./header_names.ts";
+import { countHeaderBytes } from "./header_size.ts";
 import { buildProblemResponse } from "./problem_response.ts";
 import {
   type AttemptDetails,
@@ -52,8 +54,6 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Retry delays are lengthened at random by up to this share. */
 const RETRY_JITTER_SHARE = 0.5;
-/** Bytes of the colon, the space and the line break of each header line. */
-const HEADER_OVERHEAD_BYTES = 4;
 const STATUS_BY_PARSER_ERROR: ReadonlyMap<string, number> = new Map([
   ["HPE_HEADER_OVERFLOW", 431],
   ["HPE_CHUNK_EXTENSIONS_OVERFLOW", 413],
@@ -355,6 +355,7 @@
       head.timeLeftMs ?? route.deadlineMs,
       route.deadlineMs,
     );
+    const arrivedAtMs = estimateArrivalMs(arrival, timeoutMs);
     return {
       id: arrival.id,
       route,
@@ -363,12 +364,12 @@
       host: head.host,
       target: request.url ?? "/",
       receivedAtMs,
-      deadlineAtMs: receivedAtMs + timeoutMs,
+      deadlineAtMs: arrivedAtMs + timeoutMs,
       isPassedOn: forwarding !== undefined,
       terms: {
         service: forwarding?.service ?? this.#takeService(route),
         priority: teamPriority ?? route.priority,
-        targetAtMs: receivedAtMs +
+        targetAtMs: arrivedAtMs +
           (forwarding?.targetLeftMs ?? route.targetLatencyMs),
         maxAttempts: route.maxAttempts,
         attemptsBefore: forwarding?.attempts ?? 0,
@@ -390,10 +391,3 @@
 function readRequestId(headers: ResponseHead["headers"]): string | undefined {
   return parseServerResponse(0, headers).requestId;
 }
-
-function countHeaderBytes(rawHeaders: readonly string[]): number {
-  return rawHeaders.reduce(
-    (sum, text) => sum + text.length + HEADER_OVERHEAD_BYTES / 2,
-    0,
-  );
-}
--- a/packages/entry/src/dialect/serving_dialect.ts
+++ b/packages/entry/src/dialect/serving_dialect.ts
@@ -10,12 +10,13 @@
 
 import type { RequestContext } from "../ports/request_context.ts";
 import type { AttemptOutcome } from "../ports/server_router.ts";
+import type { Arrival } from "../serving/arrival.ts";
 import type { ResponseHead } from "../serving/attempt_listener.ts";
 import type { AttemptRequest } from "../serving/attempt_message.ts";
 import type { CallerExchange } from "../serving/caller_exchange.ts";
 import type { PresentedKey } from "../serving/caller_key.ts";
 import type { Refusal } from "../serving/refusal.ts";
-import type { Admission, Arrival } from "../serving/request_admission.ts";
+import type { Admission } from "../serving/request_admission.ts";
 import type { OutboundRequest } from "../serving/response_receiver.ts";
 import type { ForwardingTerms } from "./forwarding_headers.ts";
 
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -192,10 +192,9 @@
     const { loop, clock } = this.#options;
     const isSettled = this.#leadership.isFollowing;
     const delayMs = isSettled ? FOLLOWER_TICK_MS : LEADER_TICK_MS;
-    const dueAtMs = clock.readMonotonicMs() + delayMs;
+    loop.setTimerDue(clock.readMonotonicMs() + delayMs);
     this.#timer = setTimeout(() => {
-      loop.observeTurn();
-      loop.recordDelay(clock.readMonotonicMs() - dueAtMs);
+      loop.observeTimer();
       this.#runTick();
       this.#scheduleTick();
     }, delayMs);
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -2,7 +2,7 @@
 
 import * as http from "node:http";
 import * as https from "node:https";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 
 import { type RequestId, toId } from "@limpetford/domain/ids";
@@ -21,6 +21,7 @@
 import type { RequestExplanation } from "../serving/request_explanations.ts";
 import { RequestPipeline } from "../serving/request_pipeline.ts";
 import type { ServingPorts } from "../serving/serving_ports.ts";
+import { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
 import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import type { CallerTls } from "../vm/vm_settings.ts";
 import type { CallerServerLimits } from "./caller_server_limits.ts";
@@ -65,6 +66,7 @@
   readonly #pipeline: RequestPipeline;
   readonly #dialect: ServingDialect;
   readonly #loop: EventLoopMonitor;
+  readonly #acceptQueue: AcceptQueueMonitor;
   /** Requests that have not ended, by connection. */
   readonly #exchanges = new Map<Duplex, CallerExchange[]>();
   /** Connections whose end is observed. */
@@ -98,6 +100,7 @@
     this.#ports = ports;
     this.#options = options;
     this.#loop = ports.loop ?? new EventLoopMonitor(ports.clock);
+    this.#acceptQueue = new AcceptQueueMonitor(ports.clock, this.#loop);
     this.#connections = new BackendConnectionPool(ports.clock, options.backend);
     this.#peerConnections = new BackendConnectionPool(
       ports.clock,
@@ -300,6 +303,9 @@
         key: options.tls.privateKey,
       });
     server.maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
+    server.on("connection", (socket: Socket) => {
+      this.#acceptQueue.observeAccept(socket);
+    });
     server.on("request", (request, response) => {
       this.#accept(request, response);
     });
@@ -323,6 +329,10 @@
       id: this.#resolveRequestId(request),
       receivedAtMs: this.#ports.clock.readMonotonicMs(),
       maxUnreadMs: this.#loop.maxUnreadMs,
+      likelyUnreadMs: Math.max(
+        this.#loop.likelyUnreadMs,
+        this.#acceptQueue.estimateUnreadMs(request.socket),
+      ),
       forwarding,
       random: this.#ports.random,
       dialect: this.#dialect,
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -23,6 +23,8 @@
   readonly receivedAtMs: number;
   /** Longest time for which the request may have lain unread. */
   readonly maxUnreadMs: number;
+  /** Time for which it is likely to have lain unread, in milliseconds. */
+  readonly likelyUnreadMs: number;
   /** Set if another VM has forwarded the request to this one. */
   readonly forwarding?: ForwardingTerms | undefined;
   readonly random: RandomSource;
@@ -44,6 +46,7 @@
   readonly id: RequestId;
   readonly receivedAtMs: number;
   readonly maxUnreadMs: number;
+  readonly likelyUnreadMs: number;
   readonly forwarding: ForwardingTerms | undefined;
   readonly #options: ExchangeOptions;
   #disconnectListener: (() => void) | undefined;
@@ -69,6 +72,7 @@
     this.id = options.id;
     this.receivedAtMs = options.receivedAtMs;
     this.maxUnreadMs = options.maxUnreadMs;
+    this.likelyUnreadMs = options.likelyUnreadMs;
     this.forwarding = options.forwarding;
     this.#options = options;
     response.on("close", () => {
--- a/packages/entry/src/serving/request_admission.ts
+++ b/packages/entry/src/serving/request_admission.ts
@@ -2,15 +2,15 @@
 
 import type { IncomingMessage } from "node:http";
 
-import type { RequestId, TeamId } from "@limpetford/domain/ids";
+import type { TeamId } from "@limpetford/domain/ids";
 import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
 import { makeError, makeOk, type Result } from "@limpetford/domain/result";
 import { type Route, ROUTE_ACCESS } from "@limpetford/domain/route";
 
-import type { ForwardingTerms } from "../dialect/forwarding_headers.ts";
 import { HEADER } from "../dialect/header_names.ts";
 import type { ConfigurationSource } from "../ports/configuration_source.ts";
 import type { RequestContext } from "../ports/request_context.ts";
+import { type Arrival, estimateArrivalMs } from "./arrival.ts";
 import {
   hasCallerKey,
   parseCallerKey,
@@ -28,15 +28,6 @@
   readonly key: PresentedKey | undefined;
 }
 
-/** Identifier and arrival time of a request. */
-export interface Arrival {
-  readonly id: RequestId;
-  /** Monotonic time, in milliseconds. */
-  readonly receivedAtMs: number;
-  /** Set if another VM has forwarded the request to this one. */
-  readonly forwarding?: ForwardingTerms | undefined;
-}
-
 /**
  * Checks the request line and headers against the active configuration.
  *
@@ -147,7 +138,8 @@
   arrival: Arrival,
   parts: ContextParts,
 ): RequestContext {
-  const { route, team, target, timeoutMs } = parts;
+  const { route, team, target } = parts;
+  const timeoutMs = Math.min(parts.timeoutMs, route.deadlineMs);
   return {
     id: arrival.id,
     route,
@@ -155,7 +147,7 @@
     method: request.method ?? "GET",
     target,
     receivedAtMs: arrival.receivedAtMs,
-    deadlineAtMs: arrival.receivedAtMs + Math.min(timeoutMs, route.deadlineMs),
+    deadlineAtMs: estimateArrivalMs(arrival, timeoutMs) + timeoutMs,
     isPassedOn: request.headers[HEADER.passedOn] !== undefined,
   };
 }
--- a/packages/entry/src/vm/event_loop_monitor.ts
+++ b/packages/entry/src/vm/event_loop_monitor.ts
@@ -4,6 +4,8 @@
 
 /** Period over which the longest delay is kept. */
 const REPORT_WINDOW_MS = 1_000;
+/** Turns in which what had arrived before a late timer is read. */
+const TURNS_AFTER_TIMER = 2;
 
 /**
  * Bounds the time for which bytes that are read now have lain unread. Whatever had
@@ -15,6 +17,10 @@
   #lastTurnAtMs: number;
   #turnBeforeAtMs: number;
   #isScheduled = false;
+  #turn = 0;
+  #timerDueAtMs = Infinity;
+  #timerDelayMs = 0;
+  #timerTurn = -Infinity;
   #windowStartedAtMs: number;
   #windowDelayMs = 0;
   #delayBeforeMs = 0;
@@ -41,6 +47,39 @@
     return this.#clock.readMonotonicMs() - this.#turnBeforeAtMs;
   }
 
+  /**
+   * Time for which bytes that are read now are likely to have lain unread, going by
+   * how late the regular timer is or has just been.
+   *
+   * @returns milliseconds; 0 while the loop is not behind
+   */
+  get likelyUnreadMs(): number {
+    const overdueMs = this.#clock.readMonotonicMs() - this.#timerDueAtMs;
+    const delayMs = this.#turn - this.#timerTurn < TURNS_AFTER_TIMER
+      ? this.#timerDelayMs
+      : 0;
+    return Math.max(0, overdueMs, delayMs);
+  }
+
+  /**
+   * Announces when the regular timer is due next. It shows how late the loop is.
+   *
+   * @param dueAtMs - monotonic time, in milliseconds
+   */
+  setTimerDue(dueAtMs: number): void {
+    this.#timerDueAtMs = dueAtMs;
+  }
+
+  /** Observes that the regular timer runs, which is the beginning of a turn. */
+  observeTimer(): void {
+    const delayMs = this.#clock.readMonotonicMs() - this.#timerDueAtMs;
+    this.#timerDelayMs = delayMs;
+    this.#timerTurn = this.#turn;
+    this.#timerDueAtMs = Infinity;
+    this.recordDelay(delayMs);
+    this.observeTurn();
+  }
+
   /**
    * Longest delay that was recorded within the last one to two seconds.
    *
@@ -59,6 +98,7 @@
     this.#isScheduled = true;
     setImmediate(() => {
       this.#isScheduled = false;
+      this.#turn += 1;
       this.#turnBeforeAtMs = this.#lastTurnAtMs;
       this.#lastTurnAtMs = this.#clock.readMonotonicMs();
     });
--- a/packages/entry/src/vm/event_loop_monitor_test.ts
+++ b/packages/entry/src/vm/event_loop_monitor_test.ts
@@ -20,6 +20,24 @@
     expect(loop.maxUnreadMs).toBe(3_050);
   });
 
+  it("tells how late the regular timer is, and for what is read after it", async () => {
+    const clock = new FakeClock();
+    const loop = new EventLoopMonitor(clock);
+    expect(loop.likelyUnreadMs).toBe(0);
+    loop.setTimerDue(clock.readMonotonicMs() + 50);
+    clock.advance(40);
+    expect(loop.likelyUnreadMs).toBe(0);
+    clock.advance(710);
+    expect(loop.likelyUnreadMs).toBe(700);
+    loop.observeTimer();
+    loop.setTimerDue(clock.readMonotonicMs() + 50);
+    expect(loop.likelyUnreadMs).toBe(700);
+    await waitTurn();
+    loop.observeTurn();
+    await waitTurn();
+    expect(loop.likelyUnreadMs).toBe(0);
+  });
+
   it("keeps the longest delay for one to two seconds", () => {
     const clock = new FakeClock();
     const loop = new EventLoopMonitor(clock);
