fix: a small VM that came to lead makes way for a large one

Cause: leaders are chosen by seniority before size. A large VM loses its claim when it pauses for a second or stops; the small one that takes over was in front of it for good.

Change: a VM that runs and is more than twice as large as a leader takes over from it; of leaders the much larger ones come first. Only the large VM itself starts this, as it knows that it runs: others may know only a record of it, and a zone that prefers a dead VM to its leader has none for 1.5 s, again and again. Sites whose VMs are alike choose as before.

Ruled out: size before seniority for all VMs (the above); classes of size by powers of two (VMs at a boundary differ for nothing).

Evidence: leader_selection_test, 2 new cases red before, 2 guard against flapping.

--- a/packages/core/src/fleet/leader_selection.ts
+++ b/packages/core/src/fleet/leader_selection.ts
@@ -8,6 +8,12 @@
 import { REACH, type Reach } from "../reach/vm_reach_table.ts";
 import { hashRendezvous } from "./rendezvous_hash.ts";
 
+/**
+ * A leader with less than this share of another one's cores makes way for it. Callers
+ * are not moved for a smaller difference.
+ */
+const SMALL_SHARE = 1 / 2;
+
 /** A VM that can be chosen as a leader, as the choosing VM knows it. */
 export interface LeaderCandidate {
   readonly id: VmId;
@@ -20,6 +26,11 @@
   readonly reach: Reach;
   /** Processor cores, also fractions of one; larger VMs are preferred. */
   readonly cores: number;
+  /**
+   * True if it may take over from leaders that are much smaller. Only the choosing
+   * VM may, since it knows of itself that it runs; others follow once it claims.
+   */
+  readonly mayTakeOver: boolean;
 }
 
 /**
@@ -35,9 +46,10 @@
   zone: ZoneId,
   candidates: readonly LeaderCandidate[],
 ): readonly LeaderCandidate[] {
-  const sorted = candidates.filter((candidate) =>
+  const available = candidates.filter((candidate) =>
     candidate.zone === zone && candidate.isAvailable
   ).sort(compareCandidates);
+  const sorted = selectLargeFirst(available);
   return sorted.some(({ reach }) => reach === REACH.lost)
     ? [
       ...sorted.filter(mayServeCallers),
@@ -48,8 +60,9 @@
 
 /**
  * Chooses the first leader of a zone: the VM that has been a leader longest, so
- * that callers move as little as possible; otherwise the largest. Ties are
- * broken by a rendezvous hash, which gives the same result on every VM.
+ * that callers move as little as possible; otherwise the largest. A small VM that
+ * led while the large ones were away makes way for them. Ties are broken by a
+ * rendezvous hash, which gives the same result on every VM.
  *
  * @param zone - availability zone whose VMs are considered
  * @param candidates - all known VMs, of any zone
@@ -62,6 +75,21 @@
   return sortLeaders(zone, candidates)[0];
 }
 
+// Puts leaders, and the VM that may take over, before leaders that are much smaller.
+function selectLargeFirst(
+  sorted: readonly LeaderCandidate[],
+): readonly LeaderCandidate[] {
+  const running = sorted.filter(({ leaderSinceMs, mayTakeOver }) =>
+    leaderSinceMs !== undefined || mayTakeOver
+  );
+  const minimum = SMALL_SHARE * Math.max(...running.map(({ cores }) => cores));
+  const large = running.filter(({ cores }) => cores >= minimum);
+  const hasSmallLeader = sorted.some(({ leaderSinceMs, cores }) =>
+    leaderSinceMs !== undefined && cores < minimum
+  );
+  return hasSmallLeader ? [...new Set([...large, ...sorted])] : sorted;
+}
+
 // A leader is trusted until it says that it has lost a service, others only once
 // they are known to reach all.
 function mayServeCallers({ reach, leaderSinceMs }: LeaderCandidate): boolean {
--- a/packages/core/src/fleet/leader_selection_test.ts
+++ b/packages/core/src/fleet/leader_selection_test.ts
@@ -16,6 +16,7 @@
     leaderSinceMs: undefined,
     reach: REACH.unknown,
     cores: 1,
+    mayTakeOver: false,
     ...changes,
   };
 }
@@ -47,6 +48,38 @@
       candidates: [buildCandidate("a"), buildCandidate("b", { cores: 2 })],
       expected: "b",
     },
+    {
+      name: "a much larger VM that takes over from a small leader",
+      candidates: [
+        buildCandidate("a", { leaderSinceMs: 10, cores: 0.27 }),
+        buildCandidate("b", { cores: 1.35, mayTakeOver: true }),
+      ],
+      expected: "b",
+    },
+    {
+      name: "a much larger leader, although a small one has led longer",
+      candidates: [
+        buildCandidate("a", { leaderSinceMs: 10, cores: 0.27 }),
+        buildCandidate("b", { leaderSinceMs: 20, cores: 1.35 }),
+      ],
+      expected: "b",
+    },
+    {
+      name: "the small leader, if larger VMs may be gone",
+      candidates: [
+        buildCandidate("a", { leaderSinceMs: 10, cores: 0.27 }),
+        buildCandidate("b", { cores: 1.35 }),
+      ],
+      expected: "a",
+    },
+    {
+      name: "the leader, although another VM is a little larger",
+      candidates: [
+        buildCandidate("a", { leaderSinceMs: 10 }),
+        buildCandidate("b", { cores: 1.3, mayTakeOver: true }),
+      ],
+      expected: "a",
+    },
     {
       name: "no unavailable VM",
       candidates: [
--- a/packages/entry/src/fleet/fleet_peers.ts
+++ b/packages/entry/src/fleet/fleet_peers.ts
@@ -356,6 +356,7 @@
           this.discoveryLeftMs === 0,
         leaderSinceMs: this.ownLeaderSinceMs,
         cores: vm.weight,
+        mayTakeOver: true,
       };
     }
     return {
@@ -365,6 +366,7 @@
       isAvailable: this.isAvailable(vm),
       leaderSinceMs: this.readClaim(vm)?.sinceMs,
       cores: vm.weight,
+      mayTakeOver: false,
     };
   }
 
--- a/packages/standins/src/capacity/fleet_probes.ts
+++ b/packages/standins/src/capacity/fleet_probes.ts
@@ -42,6 +42,7 @@
     leaderSinceMs: undefined,
     reach: REACH.unknown,
     cores: 1,
+    mayTakeOver: false,
   }));
   const zones = [...new Set(candidates.map(({ zone }) => zone))];
   const perChoiceMs = measureCpuMs(() => {
