fix: a leader whose callers wait to be accepted asks for another leader

Callers waited for seconds at a leader that drowned: it reports the requests that it has read, and below a third of its nominal rate its delay did not count (a small VM that is charged in full after a restart may read less than that).

Change: the time for which every turn has accepted a connection is recorded (half of it, the mean wait); over 100 ms a leader reports its load as above its capacity, at any rate. A pause of the process alone does not count there. vm-overloaded says it (queueMs).

Evidence: leader_count_test, a new case red before (20 for 165); accept_queue_monitor_test. Also: the window of the monitor's maxima is a class of its own, RecentMaximum.

--- a/packages/core/src/fleet/leader_count.ts
+++ b/packages/core/src/fleet/leader_count.ts
@@ -9,7 +9,10 @@
 
 /** Delay from which a leader gets more requests than its processor bears. */
 const OVERLOADED_DELAY_MS = 100;
-/** Share of a leader's capacity below which its delay has other causes. */
+/**
+ * Share of a leader's capacity below which its delay has other causes, unless
+ * connections wait for it.
+ */
 const MIN_OVERLOADED_SHARE = 1 / 3;
 /** Load of an overloaded leader, as a share of its capacity. */
 const OVERLOADED_SHARE = 1.1;
@@ -21,27 +24,30 @@
   readonly cores: number;
   /** Longest recent delay of timers and requests, in milliseconds. */
   readonly delayMs: number;
+  /** Longest recent wait of connections for others, in milliseconds. */
+  readonly queueMs: number;
 }
 
 /**
- * Checks whether a leader is behind because of its requests.
+ * Checks whether a leader is behind because of its requests. Those that it has not
+ * read yet do not count in their rate.
  *
- * @param load - rate of its requests, its size and its delay
+ * @param load - rate of its requests, its size and its delays
  * @returns false if it is in time, or gets too few requests to be their fault
  */
 export function isLeaderOverloaded(
-  { requestsPerSecond, cores, delayMs }: LeaderLoad,
+  { requestsPerSecond, cores, delayMs, queueMs }: LeaderLoad,
 ): boolean {
-  const capacity = cores * REQUESTS_PER_SECOND_PER_CORE;
-  return delayMs > OVERLOADED_DELAY_MS &&
-    requestsPerSecond > MIN_OVERLOADED_SHARE * capacity;
+  const minimum = MIN_OVERLOADED_SHARE * cores * REQUESTS_PER_SECOND_PER_CORE;
+  return queueMs > OVERLOADED_DELAY_MS ||
+    (delayMs > OVERLOADED_DELAY_MS && requestsPerSecond > minimum);
 }
 
 /**
  * Estimates the load of a leader. One that is overloaded has reached its capacity,
  * however few requests it gets.
  *
- * @param load - rate of its requests, its size and its delay
+ * @param load - rate of its requests, its size and its delays
  * @returns requests per second
  */
 export function estimateLeaderLoad(load: LeaderLoad): number {
--- a/packages/core/src/fleet/leader_count_test.ts
+++ b/packages/core/src/fleet/leader_count_test.ts
@@ -21,25 +21,47 @@
 
 describe("estimateLeaderLoad", () => {
   const cases = [
-    { name: "in time", rate: 120, delayMs: 20, expected: 120 },
-    { name: "behind with few requests", rate: 30, delayMs: 600, expected: 30 },
-    { name: "behind", rate: 120, delayMs: 600, expected: 165 },
+    { name: "in time", rate: 120, delayMs: 20, queueMs: 0, expected: 120 },
+    {
+      name: "behind with few requests",
+      rate: 30,
+      delayMs: 600,
+      queueMs: 0,
+      expected: 30,
+    },
+    { name: "behind", rate: 120, delayMs: 600, queueMs: 0, expected: 165 },
     {
       name: "behind above its capacity",
       rate: 400,
       delayMs: 600,
+      queueMs: 0,
       expected: 400,
     },
+    {
+      name: "that reads few requests, while others wait to be accepted",
+      rate: 20,
+      delayMs: 400,
+      queueMs: 400,
+      expected: 165,
+    },
   ];
-  it.each(cases)("of a leader $name", ({ rate, delayMs, expected }) => {
-    const load = { requestsPerSecond: rate, cores: 0.5, delayMs };
-    expect(estimateLeaderLoad(load)).toBeCloseTo(expected);
-  });
+  it.each(cases)(
+    "of a leader $name",
+    ({ rate, delayMs, queueMs, expected }) => {
+      const load = { requestsPerSecond: rate, cores: 0.5, delayMs, queueMs };
+      expect(estimateLeaderLoad(load)).toBeCloseTo(expected);
+    },
+  );
 
   // Guards against a leader that falls behind while the VMs of its zone rest.
   it("adds a leader while one is behind below its nominal capacity", () => {
     const cores = [0.5, 0.5, 0.5];
-    const load = { requestsPerSecond: 120, cores: 0.5, delayMs: 600 };
+    const load = {
+      requestsPerSecond: 120,
+      cores: 0.5,
+      delayMs: 600,
+      queueMs: 0,
+    };
     expect(decideLeaderCount(1, load.requestsPerSecond, cores)).toBe(1);
     expect(decideLeaderCount(1, estimateLeaderLoad(load), cores)).toBe(2);
     const both = 2 * estimateLeaderLoad(load);
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -113,7 +113,11 @@
     level: "warn",
     meaning:
       "the VM serves requests later than it could read them; it asks for one more leader in its zone",
-    fields: { delayMs: "number", requestsPerSecond: "number" },
+    fields: {
+      delayMs: "number",
+      queueMs: "number",
+      requestsPerSecond: "number",
+    },
   },
   "peer-lost": {
     level: "warn",
--- a/packages/entry/src/fleet/zone_leadership.ts
+++ b/packages/entry/src/fleet/zone_leadership.ts
@@ -79,6 +79,7 @@
       requestsPerSecond: limiter.readRequestsPerSecond(),
       cores: self.weight,
       delayMs: loop.longestDelayMs,
+      queueMs: loop.longestQueueMs,
     };
     peers.ownRequestsPerSecond = estimateLeaderLoad(load);
     this.#recordOverload(load);
@@ -103,6 +104,7 @@
     if (isOverloaded && !this.#isOverloaded) {
       this.#options.log.record("vm-overloaded", {
         delayMs: Math.round(load.delayMs),
+        queueMs: Math.round(load.queueMs),
         requestsPerSecond: Math.round(load.requestsPerSecond),
       });
     }
--- a/packages/entry/src/vm/accept_queue_monitor.ts
+++ b/packages/entry/src/vm/accept_queue_monitor.ts
@@ -53,11 +53,10 @@
       this.#longestUnreadMs,
       this.#loop.likelyUnreadMs,
     );
-    const waitedMs = Math.max(
-      this.#longestUnreadMs,
-      (nowMs - this.#busySinceMs) * MEAN_WAIT_SHARE,
-    );
+    const queueMs = (nowMs - this.#busySinceMs) * MEAN_WAIT_SHARE;
+    const waitedMs = Math.max(this.#longestUnreadMs, queueMs);
     this.#loop.recordDelay(waitedMs);
+    this.#loop.recordQueueing(queueMs);
     this.#arrivals.set(socket, nowMs - waitedMs);
   }
 
--- a/packages/entry/src/vm/accept_queue_monitor_test.ts
+++ b/packages/entry/src/vm/accept_queue_monitor_test.ts
@@ -41,6 +41,7 @@
   it("finds growing waits while each turn accepts a connection", async () => {
     expect(await acceptInTurns(5)).toEqual([0, 10, 20, 30, 40]);
     expect(loop.longestDelayMs).toBe(40);
+    expect(loop.longestQueueMs).toBe(40);
   });
 
   it("finds the pause in all connections that came meanwhile", async () => {
@@ -48,6 +49,7 @@
     clock.advance(850);
     loop.observeTimer();
     expect(await acceptInTurns(3)).toEqual([800, 800, 800]);
+    expect(loop.longestQueueMs).toBe(20);
   });
 
   it("finds no wait of a request that comes after its connection", async () => {
--- a/packages/entry/src/vm/event_loop_monitor.ts
+++ b/packages/entry/src/vm/event_loop_monitor.ts
@@ -2,8 +2,8 @@
 
 import type { Clock } from "@limpetford/core/time/clock";
 
-/** Period over which the longest delay is kept. */
-const REPORT_WINDOW_MS = 1_000;
+import { RecentMaximum } from "./recent_maximum.ts";
+
 /** Turns in which what had arrived before a late timer is read. */
 const TURNS_AFTER_TIMER = 2;
 
@@ -21,9 +21,8 @@
   #timerDueAtMs = Infinity;
   #timerDelayMs = 0;
   #timerTurn = -Infinity;
-  #windowStartedAtMs: number;
-  #windowDelayMs = 0;
-  #delayBeforeMs = 0;
+  readonly #delays: RecentMaximum;
+  readonly #queueing: RecentMaximum;
 
   /**
    * Starts with a loop that is not behind.
@@ -35,7 +34,8 @@
     const nowMs = clock.readMonotonicMs();
     this.#lastTurnAtMs = nowMs;
     this.#turnBeforeAtMs = nowMs;
-    this.#windowStartedAtMs = nowMs;
+    this.#delays = new RecentMaximum(clock);
+    this.#queueing = new RecentMaximum(clock);
   }
 
   /**
@@ -86,8 +86,17 @@
    * @returns milliseconds
    */
   get longestDelayMs(): number {
-    this.#advanceWindow(this.#clock.readMonotonicMs());
-    return Math.max(this.#windowDelayMs, this.#delayBeforeMs);
+    return this.#delays.read();
+  }
+
+  /**
+   * Longest time within the last one to two seconds for which connections waited
+   * while others were accepted.
+   *
+   * @returns milliseconds
+   */
+  get longestQueueMs(): number {
+    return this.#queueing.read();
   }
 
   /** Observes the end of this turn. Has to be called several times a second. */
@@ -110,19 +119,15 @@
    * @param delayMs - delay of a timer or of a request, in milliseconds
    */
   recordDelay(delayMs: number): void {
-    this.#advanceWindow(this.#clock.readMonotonicMs());
-    this.#windowDelayMs = Math.max(this.#windowDelayMs, delayMs);
+    this.#delays.record(delayMs);
   }
 
-  #advanceWindow(nowMs: number): void {
-    const passedMs = nowMs - this.#windowStartedAtMs;
-    if (passedMs < REPORT_WINDOW_MS) {
-      return;
-    }
-    this.#delayBeforeMs = passedMs < 2 * REPORT_WINDOW_MS
-      ? this.#windowDelayMs
-      : 0;
-    this.#windowDelayMs = 0;
-    this.#windowStartedAtMs = nowMs;
+  /**
+   * Records how long a connection waited while others were accepted.
+   *
+   * @param queueMs - the wait, in milliseconds
+   */
+  recordQueueing(queueMs: number): void {
+    this.#queueing.record(queueMs);
   }
 }
