test: links of the stand-ins keep their ports while they refuse connections

Links now have a host of their own, as the VMs have (generateLoopbackHost says why).

Evidence: tcp_fault_proxy_test, in which another process takes the port meanwhile. On the code before it does not end (stopped after 25 s, the error leaves the stand-in unhandled); passes now.

--- a/packages/standins/src/platform/tcp_fault_proxy.ts
+++ b/packages/standins/src/platform/tcp_fault_proxy.ts
@@ -5,6 +5,8 @@
 import type { SocketAddress } from "@limpetford/domain/vm";
 import { resetSocket } from "@limpetford/entry/http/reset_socket";
 
+import { generateLoopbackHost } from "../loopback_host.ts";
+
 /** Network faults of a link. */
 export const LINK_FAULT = {
   none: "none",
@@ -31,6 +33,7 @@
     this.#connect(downstream);
   });
   #fault: LinkFault = LINK_FAULT.none;
+  readonly #host = generateLoopbackHost();
   #port = 0;
   #isRefusing = false;
   #isStopped = false;
@@ -45,17 +48,18 @@
   }
 
   /**
-   * Starts to listen on a free port.
+   * Starts to listen on a host of its own, where nobody takes the port while it
+   * refuses connections.
    *
    * @returns the address that clients use instead of the target's
    */
   async start(): Promise<SocketAddress> {
     await new Promise<void>((resolve) => {
-      this.#server.listen(0, "127.0.0.1", resolve);
+      this.#server.listen(0, this.#host, resolve);
     });
     const { port } = this.#server.address() as net.AddressInfo;
     this.#port = port;
-    return { host: "127.0.0.1", port };
+    return { host: this.#host, port };
   }
 
   /**
@@ -73,7 +77,7 @@
       this.#server.close();
       this.#resetConnections();
     } else {
-      this.#server.listen(this.#port, "127.0.0.1");
+      this.#server.listen(this.#port, this.#host);
     }
   }
 
