test: a large VM takes over from a small leader, and only once it leads

FleetPeers with the rule of: the large VM chooses itself, one leader in the zone; a small leader stays until the large one claims.

--- a/packages/entry/src/fleet/fleet_peers_test.ts
+++ b/packages/entry/src/fleet/fleet_peers_test.ts
@@ -8,6 +8,7 @@
 import type { Vm } from "@limpetford/domain/vm";
 import type { LeadClaim, SyncMessage } from "@limpetford/peer/fleet_sync";
 
+import { buildEmptyConfiguration } from "../fakes/empty_configuration.ts";
 import { FleetPeers } from "./fleet_peers.ts";
 import { FleetState } from "./fleet_state.ts";
 
@@ -15,14 +16,14 @@
 // accepted an outdated claim would send callers to a leader that is gone.
 const ZONE = toId<ZoneId>("z");
 
-function buildVm(id: string, startedAtMs = 1): Vm {
+function buildVm(id: string, startedAtMs = 1, weight = 1): Vm {
   return {
     incarnation: { vm: toId<VmId>(id), startedAtMs },
     zone: ZONE,
     region: toId<RegionId>("r"),
     callerAddress: { host: "10.0.0.1", port: 1 },
     peerAddress: { host: "10.0.0.1", port: 2 },
-    weight: 1,
+    weight,
   };
 }
 
@@ -73,6 +74,14 @@
     clock.advance(10_000);
   });
 
+  // A VM without a configuration is no leader.
+  function applyConfiguration(): void {
+    state.applyConfiguration({
+      configuration: buildEmptyConfiguration(1),
+      position: { era: 0, offset: 0 },
+    });
+  }
+
   function readLeader(): string | undefined {
     return peers.chooseLeader(ZONE)?.incarnation.vm;
   }
@@ -96,6 +105,25 @@
     expect(readLeader()).toBe("b");
   });
 
+  // Guards against callers that wait at a small VM while large ones rest.
+  it("takes over from a leader that is much smaller", () => {
+    applyConfiguration();
+    state.putVm(buildVm("a", 1, 0.27));
+    peers.applyMessage(buildMessage("a", [buildClaim("a", 10)]));
+    expect(readLeader()).toBe("self");
+    expect(peers.listZoneLeaders(ZONE)).toHaveLength(1);
+  });
+
+  it("makes way for a much larger VM once that leads, and not before", () => {
+    applyConfiguration();
+    peers.ownLeaderSinceMs = 10;
+    state.putVm(buildVm("a", 1, 4));
+    peers.applyMessage(buildMessage("a", []));
+    expect(readLeader()).toBe("self");
+    peers.applyMessage(buildMessage("a", [buildClaim("a", 500)]));
+    expect(readLeader()).toBe("a");
+  });
+
   it("adds leaders under load and removes them afterwards", () => {
     const claim = { ...buildClaim("a", 10), requestsPerSecond: 450 };
     peers.applyMessage(buildMessage("a", [claim]));
