fix: a request that comes after a pause loses no time to it

After a late timer, the turns in which old requests are read were counted only when the next request or timer came: a request that came up to 250 ms later at a VM that rests was taken to have lain unread for the whole pause, and lost up to a third of its time.

Change: after a timer that is over 20 ms late the next two turns are observed at once. Evidence: event_loop_monitor_test, red before (700 for 0); found by reading the change.

--- a/packages/entry/src/vm/event_loop_monitor.ts
+++ b/packages/entry/src/vm/event_loop_monitor.ts
@@ -6,6 +6,8 @@
 
 /** Turns in which what had arrived before a late timer is read. */
 const TURNS_AFTER_TIMER = 2;
+/** Delay of the regular timer from which these turns are observed at once. */
+const LATE_TIMER_MS = 20;
 
 /**
  * Bounds the time for which bytes that are read now have lain unread. Whatever had
@@ -78,6 +80,11 @@
     this.#timerDueAtMs = Infinity;
     this.recordDelay(delayMs);
     this.observeTurn();
+    if (delayMs > LATE_TIMER_MS) {
+      setImmediate(() => {
+        this.observeTurn();
+      });
+    }
   }
 
   /**
--- a/packages/entry/src/vm/event_loop_monitor_test.ts
+++ b/packages/entry/src/vm/event_loop_monitor_test.ts
@@ -33,7 +33,6 @@
     loop.setTimerDue(clock.readMonotonicMs() + 50);
     expect(loop.likelyUnreadMs).toBe(700);
     await waitTurn();
-    loop.observeTurn();
     await waitTurn();
     expect(loop.likelyUnreadMs).toBe(0);
   });
