fix: a VM that is behind accepts the connections that wait before it serves

Callers saw nothing; servers got more time than their callers had left.

Cause: a turn of the event loop accepts one connection. After a pause each turn also served a request (about 10 ms each, cold), so connections that had waited since before the pause waited on in the accept queue, and the estimate of AcceptQueueMonitor leaves that time out: it grew by 10 ms a connection. A follower's tick of 250 ms adds up to as much again.

Ruled out: lag of the test's own process alone (the stand-ins' receipts grow by the same steps as the VM's begins). Adding the time to the estimate: wrong for arrivals that are spread over the pause, whose wait shrinks while the queue is emptied.

Change: steps wait while connections are accepted, 100 ms at most. What waits is read sooner, closes of callers that left in the accept queue among it, and the unknown time is short.

The new case of arrival_queue_test fails without the change.

--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -110,7 +110,12 @@
     );
     this.#dialect = ports.dialect ?? new NativeDialect(ports);
     this.#pipeline = new RequestPipeline(
-      { ports, dialect: this.#dialect, loop: this.#loop },
+      {
+        ports,
+        dialect: this.#dialect,
+        loop: this.#loop,
+        acceptQueue: this.#acceptQueue,
+      },
       { backend: this.#connections, peer: this.#peerConnections },
       options,
     );
--- a/packages/entry/src/serving/arrival_queue.ts
+++ b/packages/entry/src/serving/arrival_queue.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "@limpetford/core/time/clock";
 
+import type { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 
 /**
@@ -11,6 +12,8 @@
 const MAX_UNREAD_MS = 150;
 /** Time in a turn of the event loop in which requests are begun. */
 const TURN_BUDGET_MS = 10;
+/** Longest time for which a step waits while connections are accepted. */
+const MAX_ACCEPT_WAIT_MS = 100;
 
 interface QueuedStep {
   readonly run: () => void;
@@ -25,10 +28,12 @@
  * Then what was read waits until the connections have been read once more, and a
  * turn of the loop begins only as much as lets it read them again soon, the oldest
  * first. Attempts and timeouts of requests that were begun wait in the same way.
+ * Since a turn accepts one connection, those that wait are accepted before.
  */
 export class ArrivalQueue {
   readonly #clock: Clock;
   readonly #loop: EventLoopMonitor;
+  readonly #acceptQueue: Pick<AcceptQueueMonitor, "isBusy">;
   readonly #steps: QueuedStep[] = [];
   #turn = 0;
   #turnStartedAtMs = -Infinity;
@@ -39,10 +44,16 @@
    *
    * @param clock - measures the turns
    * @param loop - tells how far the event loop is behind
+   * @param acceptQueue - tells whether connections wait
    */
-  constructor(clock: Clock, loop: EventLoopMonitor) {
+  constructor(
+    clock: Clock,
+    loop: EventLoopMonitor,
+    acceptQueue: Pick<AcceptQueueMonitor, "isBusy">,
+  ) {
     this.#clock = clock;
     this.#loop = loop;
+    this.#acceptQueue = acceptQueue;
   }
 
   /**
@@ -85,6 +96,10 @@
     return this.#loop.maxUnreadMs > MAX_UNREAD_MS;
   }
 
+  #shouldAcceptFirst(queuedMs: number): boolean {
+    return this.#acceptQueue.isBusy && queuedMs < MAX_ACCEPT_WAIT_MS;
+  }
+
   #add(run: () => void, queuedAtMs: number): void {
     this.#steps.push({ run, queuedAtMs, turn: this.#turn });
   }
@@ -110,7 +125,10 @@
     let nowMs = startedAtMs;
     while (nowMs - startedAtMs < TURN_BUDGET_MS) {
       const [next] = this.#steps;
-      if (next === undefined || next.turn > lastTurn) {
+      if (
+        next === undefined || next.turn > lastTurn ||
+        this.#shouldAcceptFirst(nowMs - next.queuedAtMs)
+      ) {
         break;
       }
       this.#steps.shift();
--- a/packages/entry/src/serving/arrival_queue_test.ts
+++ b/packages/entry/src/serving/arrival_queue_test.ts
@@ -12,12 +12,14 @@
 describe("ArrivalQueue", () => {
   let clock: FakeClock;
   let loop: EventLoopMonitor;
+  let acceptQueue: { isBusy: boolean };
   let queue: ArrivalQueue;
   let begun: string[];
   beforeEach(() => {
     clock = new FakeClock();
     loop = new EventLoopMonitor(clock);
-    queue = new ArrivalQueue(clock, loop);
+    acceptQueue = { isBusy: false };
+    queue = new ArrivalQueue(clock, loop, acceptQueue);
     begun = [];
   });
 
@@ -62,6 +64,32 @@
     expect(counts).toMatchSnapshot();
   });
 
+  // Guards against connections that wait while each turn serves requests.
+  it("begins nothing for a while as long as connections are accepted", async () => {
+    clock.advance(HELD_UP_MS);
+    acceptQueue.isBusy = true;
+    begin("read");
+    for (let turn = 0; turn < 5; turn++) {
+      await waitTurn();
+    }
+    expect(begun).toEqual([]);
+    clock.advance(100);
+    await waitTurn();
+    expect(begun).toEqual(["read"]);
+  });
+
+  it("begins at once when no more connections are accepted", async () => {
+    clock.advance(HELD_UP_MS);
+    acceptQueue.isBusy = true;
+    begin("read");
+    for (let turn = 0; turn < 5; turn++) {
+      await waitTurn();
+    }
+    acceptQueue.isBusy = false;
+    await waitTurn();
+    expect(begun).toEqual(["read"]);
+  });
+
   it("leaves to later turns what a turn has no time for", async () => {
     for (let index = 0; index < 6; index++) {
       begin(`request-${index}`, 4);
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -6,6 +6,7 @@
 
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import type { HopSpan } from "../telemetry/span_recorder.ts";
+import type { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import {
   type AdmittedExchange,
@@ -70,7 +71,7 @@
   /**
    * Prepares the pipeline.
    *
-   * @param dependencies - ports to the components of the VM, dialect and loop
+   * @param dependencies - ports to the components of the VM, dialect and monitors
    * @param connections - connection pools for backend servers and other VMs
    * @param options - memory limits
    */
@@ -79,6 +80,7 @@
       readonly ports: ServingPorts;
       readonly dialect: ServingDialect;
       readonly loop: EventLoopMonitor;
+      readonly acceptQueue: AcceptQueueMonitor;
     },
     connections: {
       readonly backend: BackendConnectionPool;
@@ -86,9 +88,9 @@
     },
     options: PipelineOptions = {},
   ) {
-    const { ports, dialect, loop } = dependencies;
+    const { ports, dialect, loop, acceptQueue } = dependencies;
     this.#ports = ports;
-    this.#arrivals = new ArrivalQueue(ports.clock, loop);
+    this.#arrivals = new ArrivalQueue(ports.clock, loop, acceptQueue);
     this.#dialect = dialect;
     this.#connections = connections.backend;
     this.#peerConnections = connections.peer;
--- a/packages/entry/src/vm/accept_queue_monitor.ts
+++ b/packages/entry/src/vm/accept_queue_monitor.ts
@@ -36,6 +36,15 @@
     this.#loop = loop;
   }
 
+  /**
+   * Whether connections may wait to be accepted.
+   *
+   * @returns true while each turn of the event loop accepts one
+   */
+  get isBusy(): boolean {
+    return this.#isQueueBusy;
+  }
+
   /**
    * Observes a connection that is accepted.
    *
