test: callers are led to a large VM again after it was away

Four VMs as processes, three of 0.27 cores and one of 1.35: the large one is stopped for 4 s, or killed and started again. Within the users' recovery bound every directory names it again, and meanwhile every request is answered 200.

Program unchanged.

--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -55,6 +55,7 @@
   readonly #leavingServers = new Set<ServerStandin>();
   readonly #serverStarts = new Map<ServerStandin, number>();
   #seeds: readonly string[] = [];
+  #cores: readonly number[] = [];
   #settingsDirectory = "";
   #announceTimer: NodeJS.Timeout | undefined;
   #sequence = 0;
@@ -72,11 +73,17 @@
   /**
    * Starts stand-ins and processes, and waits until all VMs are ready.
    *
-   * @param counts - number of backend servers, and of VMs in each zone
+   * @param counts - number of backend servers, and of VMs in each zone; processor
+   * cores of the VMs in their order, 1 by default
    */
   async start(
-    counts: { readonly servers: number; readonly zones: readonly number[] },
+    counts: {
+      readonly servers: number;
+      readonly zones: readonly number[];
+      readonly cores?: readonly number[];
+    },
   ): Promise<void> {
+    this.#cores = counts.cores ?? [];
     await this.store.start();
     for (let index = 0; index < counts.servers; index++) {
       const server = new ServerStandin(`i-${index}`);
@@ -325,7 +332,12 @@
     this.storeLinks.push(link);
     const settingsPath = path.join(this.#settingsDirectory, `${vm.id}.yaml`);
     const storeAddress = await link.start();
-    const handle = new VmProcessHandle({ ...vm, settingsPath, storeAddress });
+    const handle = new VmProcessHandle({
+      ...vm,
+      cores: this.#cores[this.vms.length] ?? 1,
+      settingsPath,
+      storeAddress,
+    });
     await this.#writeSettings(handle, { isFirstStart: true });
     handle.start();
     this.vms.push(handle);
@@ -338,7 +350,7 @@
     await fs.writeFile(
       vm.settingsPath,
       JSON.stringify({
-        vm: { id: vm.id, zone: vm.zone, region: "r" },
+        vm: { id: vm.id, zone: vm.zone, region: "r", cores: vm.cores },
         addresses: {
           caller: `${vm.host}:${CALLER_PORT}`,
           ready: `${vm.host}:${READY_PORT}`,
--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -35,6 +35,8 @@
   /** Loopback address that the process listens on. */
   readonly host: string;
   readonly zone: string;
+  /** Processor cores that its settings name, also fractions of one. */
+  readonly cores: number;
   /** Path of the settings file. */
   readonly settingsPath: string;
   /** Address at which the process reaches the store. */
@@ -46,6 +48,8 @@
   readonly id: string;
   readonly host: string;
   readonly zone: string;
+  /** Processor cores that its settings name, also fractions of one. */
+  readonly cores: number;
   /** Output of all its processes so far, stdout and stderr interleaved. */
   log = "";
   readonly settingsPath: string;
@@ -61,6 +65,7 @@
     this.id = options.id;
     this.host = options.host;
     this.zone = options.zone;
+    this.cores = options.cores;
     this.settingsPath = options.settingsPath;
     this.storeAddress = options.storeAddress;
   }
