--- a/packages/standins/src/fleet/broken_head_test.ts
+++ b/packages/standins/src/fleet/broken_head_test.ts
@@ -6,6 +6,7 @@
   RawResponse,
   ReceivedRequest,
 } from "../platform/server_standin.ts";
+import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
 
@@ -60,11 +61,7 @@
     execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
     fleet = new FleetProcesses({ logLevel: "error" });
     await fleet.start({ servers: 2, zones: [1] });
-    const [first] = fleet.vms;
-    if (first === undefined) {
-      throw new Error("the fleet has no VM");
-    }
-    vm = first;
+    vm = getVm(fleet);
   });
   afterAll(async () => {
     await fleet.stop();
--- a/packages/standins/src/fleet/departed_callers_test.ts
+++ b/packages/standins/src/fleet/departed_callers_test.ts
@@ -5,6 +5,7 @@
   CallerResponse,
 } from "../platform/caller_client.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { waitForLeader } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import {
   BUNDLE_DIRECTORY,
@@ -52,14 +53,6 @@
     await fleet.stop();
   });
 
-  async function findLeader(): Promise<VmProcessHandle> {
-    const leader = await fleet.findLeader("zone-0");
-    if (leader === undefined) {
-      throw new Error("the zone has no leader");
-    }
-    return leader;
-  }
-
   function buildRequest(path: string, index: number): CallerRequest {
     return index % 2 === 0
       ? { path: `/read/${path}`, key: KEY }
@@ -108,7 +101,7 @@
   }
 
   it("are not sent by a VM that was held up", async () => {
-    const vm = await findLeader();
+    const vm = await waitForLeader(fleet, "zone-0");
     await fleet.send(vm, buildRequest("warm", 0));
     vm.sendSignal("SIGSTOP");
     const abandoned = await Promise.all(
@@ -134,7 +127,7 @@
   });
 
   it("are not sent by a VM that is slow", async () => {
-    const vm = await findLeader();
+    const vm = await waitForLeader(fleet, "zone-0");
     await fleet.send(vm, buildRequest("warm", 0));
     const endAtMs = Date.now() + SLOW_FOR_MS;
     const slow = runSlowly(vm, endAtMs);
--- a/packages/standins/src/fleet/large_leader_test.ts
+++ b/packages/standins/src/fleet/large_leader_test.ts
@@ -2,8 +2,9 @@
 import * as http from "node:http";
 
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const ZONE = "zone-0";
@@ -38,14 +39,6 @@
     await fleet.stop();
   });
 
-  function getLargeVm(): VmProcessHandle {
-    const large = fleet.vms.find(({ cores }) => cores === LARGE_CORES);
-    if (large === undefined) {
-      throw new Error("the fleet has no large VM");
-    }
-    return large;
-  }
-
   async function listLeaderCores(): Promise<readonly (number | undefined)[]> {
     const running = fleet.vms.filter((vm) => vm.isRunning());
     const leaders = await Promise.all(
@@ -54,7 +47,7 @@
     return leaders.map((leader) => leader?.cores);
   }
 
-  async function waitForLeader(cores: number): Promise<void> {
+  async function waitUntilLed(cores: number): Promise<void> {
     await fleet.waitUntil(
       async () => (await listLeaderCores()).every((found) => found === cores),
       RECOVERY_MS,
@@ -79,14 +72,14 @@
   }
 
   it("are led to it after a start", async () => {
-    await waitForLeader(LARGE_CORES);
+    await waitUntilLed(LARGE_CORES);
   });
 
   it.each(["paused", "killed"])(
     "are led to it again after it was %s",
     async (fault) => {
-      await waitForLeader(LARGE_CORES);
-      const large = getLargeVm();
+      await waitUntilLed(LARGE_CORES);
+      const large = getVm(fleet, ({ cores }) => cores === LARGE_CORES);
       large.sendSignal(fault === "paused" ? "SIGSTOP" : "SIGKILL");
       await waitMs(AWAY_MS);
       if (fault === "killed") {
@@ -95,7 +88,7 @@
       large.sendSignal("SIGCONT");
       let isReturning = true;
       const statuses = sendWhile(() => isReturning);
-      await waitForLeader(LARGE_CORES);
+      await waitUntilLed(LARGE_CORES);
       await waitMs(1_000);
       isReturning = false;
       expect((await statuses).filter((status) => status !== STATUS_OK)).toEqual(
--- a/packages/standins/src/fleet/mixed_load.ts
+++ b/packages/standins/src/fleet/mixed_load.ts
@@ -1,6 +1,7 @@
 /** Sends requests to a fleet as callers do: most of them to leaders. */
 
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { waitForLeader } from "./fleet_lookup.ts";
 import type { FleetProcesses } from "./fleet_processes.ts";
 import type { VmProcessHandle } from "./vm_process_handle.ts";
 
@@ -36,7 +37,9 @@
   { forMs, intervalMs }: LoadOptions,
   send: (target: LoadTarget) => Promise<Result>,
 ): Promise<readonly Result[]> {
-  const leaders = await findLeaders(fleet);
+  const leaders = await Promise.all(
+    ZONES.map((zone) => waitForLeader(fleet, zone)),
+  );
   const endAtMs = Date.now() + forMs;
   const sent: Promise<Result>[] = [];
   while (Date.now() < endAtMs) {
@@ -51,18 +54,3 @@
   }
   return await Promise.all(sent);
 }
-
-// Right after the start the VMs of a zone may not agree on a leader yet.
-async function findLeaders(
-  fleet: FleetProcesses,
-): Promise<readonly VmProcessHandle[]> {
-  let leaders: readonly VmProcessHandle[] = [];
-  await fleet.waitUntil(async () => {
-    const found = await Promise.all(
-      ZONES.map((zone) => fleet.findLeader(zone)),
-    );
-    leaders = found.filter((vm) => vm !== undefined);
-    return leaders.length === ZONES.length;
-  });
-  return leaders;
-}
--- a/packages/standins/src/fleet/planned_stop_test.ts
+++ b/packages/standins/src/fleet/planned_stop_test.ts
@@ -3,6 +3,7 @@
 
 import type { CallerResponse } from "../platform/caller_client.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { waitForLeader } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
 
@@ -32,11 +33,7 @@
     fleet = new FleetProcesses();
     await fleet.start({ servers: 8, zones: [2, 2] });
     await waitMs(1_000);
-    const leader = await fleet.findLeader("zone-0");
-    if (leader === undefined) {
-      throw new Error("the zone has no leader");
-    }
-    vm = leader;
+    vm = await waitForLeader(fleet, "zone-0");
     ended = [];
   });
   afterEach(async () => {
--- a/packages/standins/src/fleet/repeated_refusal_test.ts
+++ b/packages/standins/src/fleet/repeated_refusal_test.ts
@@ -6,6 +6,7 @@
   type RepeatedRefusal,
 } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
 
@@ -32,11 +33,7 @@
   beforeEach(async () => {
     fleet = new FleetProcesses();
     await fleet.start({ servers: 4, zones: [1] });
-    const [first] = fleet.vms;
-    if (first === undefined) {
-      throw new Error("the fleet has no VM");
-    }
-    vm = first;
+    vm = getVm(fleet);
   });
   afterEach(async () => {
     await fleet.stop();
--- a/packages/standins/src/fleet/request_outcome_log_test.ts
+++ b/packages/standins/src/fleet/request_outcome_log_test.ts
@@ -5,6 +5,7 @@
   SERVER_BEHAVIOR,
   type ServerBehavior,
 } from "../platform/server_standin.ts";
+import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
 
@@ -99,11 +100,7 @@
     execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
     fleet = new FleetProcesses();
     await fleet.start({ servers: 3, zones: [1] });
-    const [first] = fleet.vms;
-    if (first === undefined) {
-      throw new Error("the fleet has no VM");
-    }
-    vm = first;
+    vm = getVm(fleet);
   });
   afterAll(async () => {
     await fleet.stop();
--- a/packages/standins/src/fleet/unread_answers_test.ts
+++ b/packages/standins/src/fleet/unread_answers_test.ts
@@ -1,6 +1,7 @@
 import { execFileSync } from "node:child_process";
 
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
@@ -32,10 +33,7 @@
   }
 
   it("are delivered, also after the timeout", async () => {
-    const [vm] = fleet.vms;
-    if (vm === undefined) {
-      throw new Error("the fleet has no VM");
-    }
+    const vm = getVm(fleet);
     for (const server of fleet.servers) {
       server.processingMs = PROCESSING_MS;
     }
--- a/packages/standins/src/fleet/unread_deadline_test.ts
+++ b/packages/standins/src/fleet/unread_deadline_test.ts
@@ -2,6 +2,7 @@
 
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { getVm, waitForLeader } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
@@ -47,13 +48,11 @@
   it.each(["leader", "follower"])(
     "reaches the servers without that time, at a %s",
     async (role) => {
-      const leader = await fleet.findLeader("zone-0");
-      const vm = fleet.vms.find((other) =>
-        (other === leader) === (role === "leader")
+      const leader = await waitForLeader(fleet, "zone-0");
+      const vm = getVm(
+        fleet,
+        (other) => (other === leader) === (role === "leader"),
       );
-      if (vm === undefined) {
-        throw new Error(`the zone has no ${role}`);
-      }
       vm.sendSignal("SIGSTOP");
       const sentAtMs = Date.now();
       const sent = Array.from(
