fix: no leader takes over from one without servers unless a VM is known to reach them

Callers were moved between VMs that all had lost the servers.

Cause, by these logs: connections waited (vm-overloaded, queueMs 111 to 188), so a second leader was added. Nothing was known of its links yet, and a leader of which nothing is known came before one that says it has lost the servers: vm-5, vm-7, vm-5, vm-7 within 0.4 s.

Ruled out: lost calls between the VMs as the cause (peer-lost stands only in the first second).

Change: the order changes only while some VM of the zone is known to reach the servers.

--- a/packages/core/src/fleet/leader_selection.ts
+++ b/packages/core/src/fleet/leader_selection.ts
@@ -50,7 +50,9 @@
     candidate.zone === zone && candidate.isAvailable
   ).sort(compareCandidates);
   const sorted = selectLargeFirst(available);
-  return sorted.some(({ reach }) => reach === REACH.lost)
+  const isLinkFailure = sorted.some(({ reach }) => reach === REACH.lost) &&
+    sorted.some(({ reach }) => reach === REACH.confirmed);
+  return isLinkFailure
     ? [
       ...sorted.filter(mayServeCallers),
       ...sorted.filter((candidate) => !mayServeCallers(candidate)),
--- a/packages/core/src/fleet/leader_selection_test.ts
+++ b/packages/core/src/fleet/leader_selection_test.ts
@@ -106,6 +106,27 @@
       ],
       expected: "a",
     },
+    // Guards against callers that are moved back and forth while the servers are away.
+    {
+      name:
+        "the leader that has lost the servers, if another one may have as well",
+      candidates: [
+        buildCandidate("a", { leaderSinceMs: 5, reach: REACH.lost }),
+        buildCandidate("b", { leaderSinceMs: 9 }),
+        buildCandidate("c", { reach: REACH.lost }),
+      ],
+      expected: "a",
+    },
+    {
+      name:
+        "another leader, if the first has lost the servers that a VM reaches",
+      candidates: [
+        buildCandidate("a", { leaderSinceMs: 5, reach: REACH.lost }),
+        buildCandidate("b", { leaderSinceMs: 9 }),
+        buildCandidate("c", { reach: REACH.confirmed }),
+      ],
+      expected: "b",
+    },
     {
       name: "the leader, if only other VMs have lost the servers",
       candidates: [
