fix: the directory names leaders without servers too while none is known to reach them

The directory left out leaders that had lost the servers if another leader had not said so yet, and so moved all callers to it.

--- a/packages/entry/src/fleet/fleet_directory.ts
+++ b/packages/entry/src/fleet/fleet_directory.ts
@@ -1,6 +1,6 @@
 /** What a VM tells callers and the platform: whom to use, and if it is ready. */
 
-import { REACH } from "@limpetford/core/reach/vm_reach_table";
+import { REACH, type Reach } from "@limpetford/core/reach/vm_reach_table";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { ZoneId } from "@limpetford/domain/ids";
 import type { SocketAddress, Vm } from "@limpetford/domain/vm";
@@ -12,8 +12,8 @@
 /** Dependencies of a {@link FleetDirectory}. */
 export interface FleetDirectoryOptions {
   readonly self: Vm;
-  readonly state: FleetState;
-  readonly peers: FleetPeers;
+  readonly state: Pick<FleetState, "mayServe">;
+  readonly peers: Pick<FleetPeers, "listLeaders" | "reach" | "isLeaving">;
   readonly clock: Clock;
 }
 
@@ -55,20 +55,26 @@
     zoneLeaders: readonly Vm[],
     others: readonly Vm[],
   ): readonly Vm[] {
-    const { peers, clock, self } = this.#options;
-    const nowMs = clock.readMonotonicMs();
-    const reaching = zoneLeaders.filter(({ incarnation }) =>
-      peers.reach.find(incarnation.vm, nowMs) !== REACH.lost
+    const { self } = this.#options;
+    const confirmed = others.filter((vm) =>
+      this.#findReach(vm) === REACH.confirmed
+    );
+    if (confirmed.length === 0) {
+      return zoneLeaders;
+    }
+    const reaching = zoneLeaders.filter((vm) =>
+      this.#findReach(vm) !== REACH.lost
     );
     if (reaching.length > 0) {
       return reaching;
     }
-    const confirmed = others.filter(({ incarnation }) =>
-      peers.reach.find(incarnation.vm, nowMs) === REACH.confirmed
-    );
     const near = confirmed.filter((vm) => vm.region === self.region);
-    const chosen = near.length > 0 ? near : confirmed;
-    return chosen.length > 0 ? [...new Set(chosen)] : zoneLeaders;
+    return [...new Set(near.length > 0 ? near : confirmed)];
+  }
+
+  #findReach({ incarnation }: Vm): Reach {
+    const { peers, clock } = this.#options;
+    return peers.reach.find(incarnation.vm, clock.readMonotonicMs());
   }
 
   override isReady(): boolean {
