--- a/packages/entry/src/serving/arrival_queue.ts
+++ b/packages/entry/src/serving/arrival_queue.ts
@@ -28,7 +28,7 @@
  * Then what was read waits until the connections have been read once more, and a
  * turn of the loop begins only as much as lets it read them again soon, the oldest
  * first. Attempts and timeouts of requests that were begun wait in the same way.
- * Since a turn accepts one connection, those that wait are accepted before.
+ * A turn accepts one connection, so those that wait are accepted before it serves.
  */
 export class ArrivalQueue {
   readonly #clock: Clock;
