fix: a stopping VM leaves a margin for requests that last longer than those before

Callers of such a request don't know whether it ran.

Cause: a request was sent if it ends just in time should it last as long as the longest recent one of its route (2.4 of 2.55 s left); it lasted a little longer. Ruled out: an unknown duration (over ten had ended).

Change: it may last a quarter longer. What is refused can be asked of another VM at once.

--- a/packages/entry/src/fleet/stop_schedule.ts
+++ b/packages/entry/src/fleet/stop_schedule.ts
@@ -4,6 +4,9 @@
 
 import type { RequestContext } from "../ports/request_context.ts";
 
+/** Share by which a request may last longer than the recent ones of its route. */
+const DURATION_MARGIN = 0.25;
+
 /**
  * Tells until when requests have to end. A request that may take longer is better
  * refused as not run, so that its caller can ask another VM, than cut.
@@ -26,8 +29,8 @@
    * @param context - the request
    * @param durations - longest recent durations of its service's requests
    * @param nowMs - monotonic time, in milliseconds
-   * @returns false if requests of its route take longer, or may by their deadline
-   * if little is known of them
+   * @returns false if requests of its route take longer or almost as long, or may by
+   * their deadline if little is known of them
    */
   mayEndInTime(
     { route, deadlineAtMs }: Pick<RequestContext, "route" | "deadlineAtMs">,
@@ -38,6 +41,7 @@
       return true;
     }
     const longestMs = durations.find(route.id, nowMs) ?? Infinity;
-    return Math.min(nowMs + longestMs, deadlineAtMs) <= this.#stopAtMs;
+    const mayLastMs = longestMs * (1 + DURATION_MARGIN);
+    return Math.min(nowMs + mayLastMs, deadlineAtMs) <= this.#stopAtMs;
   }
 }
--- a/packages/entry/src/fleet/stop_schedule_test.ts
+++ b/packages/entry/src/fleet/stop_schedule_test.ts
@@ -25,6 +25,12 @@
       longestMs: 2_500,
       expected: false,
     },
+    {
+      name: "ends in time, unless it lasts a little longer than the others",
+      stopAtMs: STOP_AT_MS,
+      longestMs: 1_900,
+      expected: false,
+    },
     {
       name: "little known",
       stopAtMs: STOP_AT_MS,
