test: servers of the stand-ins keep their ports while they are down

Ruled out: two servers of one host generateLoopbackHost gives (the address of the message is the common one).

Change: both kinds of stand-in servers have a host of their own. Looked for elsewhere: four tests found a free port of 127.0.0.1, closed it and bound it again (fleet_exchange_test, fleet_calls_test, process_test: three ports); they have hosts of their own too. generateLoopbackHost is in peer now, since tests of peer and entry use it.

--- a/packages/entry/src/fleet/fleet_exchange_test.ts
+++ b/packages/entry/src/fleet/fleet_exchange_test.ts
@@ -3,6 +3,7 @@
 
 import { makeError, type Result } from "@limpetford/domain/result";
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
+import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 import {
   FleetCallClient,
   type FleetCallOptions,
@@ -111,7 +112,7 @@
     const addresses = await Promise.all(
       Array.from(
         { length: count },
-        () => resolvePort({ host: "127.0.0.1", port: 0 }),
+        () => resolvePort({ host: generateLoopbackHost(), port: 0 }),
       ),
     );
     const seeds = addresses.slice(0, seedCount);
--- a/packages/peer/src/fleet_calls_test.ts
+++ b/packages/peer/src/fleet_calls_test.ts
@@ -8,6 +8,7 @@
 import type { SocketAddress } from "@limpetford/domain/vm";
 
 import { CallTraffic } from "./call_traffic.ts";
+import { generateLoopbackHost } from "./fakes/loopback_host.ts";
 import {
   CALL_COMPRESSION,
   FleetCallClient,
@@ -15,6 +16,7 @@
 } from "./fleet_calls.ts";
 
 const TIMEOUT_MS = 2_000;
+const PORT = 18_000;
 const REPLY = { isGranted: true, retryAfterMs: 0 };
 
 class CountingTraffic extends CallTraffic {
@@ -43,13 +45,7 @@
     const unexpected = (): never => {
       throw new Error("unexpected call");
     };
-    const probe = http.createServer();
-    await new Promise<void>((resolve) => {
-      probe.listen(0, "127.0.0.1", resolve);
-    });
-    const { port } = probe.address() as AddressInfo;
-    await new Promise((resolve) => probe.close(resolve));
-    to = { host: "127.0.0.1", port };
+    to = { host: generateLoopbackHost(), port: PORT };
     const server = new FleetCallServer({
       handleExchange: unexpected,
       handleEvidence: unexpected,
--- a/packages/standins/src/backend/backend_standin.ts
+++ b/packages/standins/src/backend/backend_standin.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo, Socket } from "node:net";
 
 import type { SocketAddress } from "@limpetford/domain/vm";
+import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 
 import type { BackendBehavior, ReceivedRequest } from "./backend_behavior.ts";
 import { writeBehavior } from "./behavior_writer.ts";
@@ -13,7 +14,7 @@
 
 /** Addresses of a stand-in. */
 export interface BackendStandinOptions {
-  /** Default 127.0.0.1. */
+  /** Default a host of its own, where nobody takes the port while it is down. */
   readonly host?: string;
   /** Default 0, any free port. */
   readonly port?: number;
@@ -38,6 +39,7 @@
   /** Status of the health endpoint, independent of how requests are handled. */
   healthStatus = HEALTHY_STATUS;
   readonly #options: BackendStandinOptions;
+  readonly #host: string;
   readonly #sockets = new Set<Socket>();
   readonly #script: BackendBehavior[] = [];
   #server: http.Server;
@@ -51,6 +53,7 @@
    */
   constructor(options: BackendStandinOptions = {}) {
     this.#options = options;
+    this.#host = options.host ?? generateLoopbackHost();
     this.#server = this.#createServer();
   }
 
@@ -86,14 +89,13 @@
    * @returns the bound address
    */
   async start(): Promise<SocketAddress> {
-    const host = this.#options.host ?? "127.0.0.1";
     const port = this.#address?.port ?? this.#options.port ?? 0;
     await new Promise<void>((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen({ host, port }, resolve);
+      this.#server.listen({ host: this.#host, port }, resolve);
     });
     const { port: boundPort } = this.#server.address() as AddressInfo;
-    this.#address = { host, port: boundPort };
+    this.#address = { host: this.#host, port: boundPort };
     return this.#address;
   }
 
--- a/packages/standins/src/failures/fault_injection_fleet.ts
+++ b/packages/standins/src/failures/fault_injection_fleet.ts
@@ -12,12 +12,12 @@
 import { toId } from "@limpetford/domain/ids";
 import { EntryVm } from "@limpetford/entry/vm/entry_vm";
 import { SystemClock } from "@limpetford/entry/vm/system_clock";
+import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 import { HttpLogService } from "@limpetford/platform/http/http_log_service";
 import { HttpVmList } from "@limpetford/platform/http/http_vm_list";
 
 import { BackendStandin } from "../backend/backend_standin.ts";
 import { DemoLinkFaults } from "../demo/demo_link_faults.ts";
-import { generateLoopbackHost } from "../loopback_host.ts";
 import { PlatformStandin } from "../platform/platform_standin.ts";
 import { sendRequest } from "../serving/http_client.ts";
 import {
--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -5,8 +5,8 @@
 import * as path from "node:path";
 
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
+import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 
-import { generateLoopbackHost } from "../loopback_host.ts";
 import {
   type CallerRequest,
   type CallerResponse,
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -5,6 +5,7 @@
 
 import type { SocketAddress } from "@limpetford/domain/vm";
 import { resetSocket } from "@limpetford/entry/http/reset_socket";
+import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 
 import { PROTOCOL_HEADER } from "./protocol_names.ts";
 
@@ -124,6 +125,7 @@
   readonly #server = http.createServer((request, response) => {
     void this.#handleRequest(request, response);
   });
+  readonly #host = generateLoopbackHost();
   #address: SocketAddress | undefined;
   #isDown = false;
   #isStopped = false;
@@ -168,17 +170,20 @@
     return this.received.filter(({ hasRun }) => hasRun).length;
   }
 
-  /** Starts to listen on a free port of 127.0.0.1. */
+  /**
+   * Starts to listen on a host of its own, where nobody takes the port while it
+   * is down.
+   */
   async start(): Promise<void> {
     this.#server.on("connection", (socket) => {
       this.#sockets.add(socket);
       socket.on("close", () => this.#sockets.delete(socket));
     });
     await new Promise<void>((resolve) => {
-      this.#server.listen(0, "127.0.0.1", resolve);
+      this.#server.listen(0, this.#host, resolve);
     });
     const { port } = this.#server.address() as AddressInfo;
-    this.#address = { host: "127.0.0.1", port };
+    this.#address = { host: this.#host, port };
   }
 
   /** Stops listening and closes all connections. */
--- a/packages/standins/src/platform/tcp_fault_proxy.ts
+++ b/packages/standins/src/platform/tcp_fault_proxy.ts
@@ -4,8 +4,7 @@
 
 import type { SocketAddress } from "@limpetford/domain/vm";
 import { resetSocket } from "@limpetford/entry/http/reset_socket";
-
-import { generateLoopbackHost } from "../loopback_host.ts";
+import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 
 /** Network faults of a link. */
 export const LINK_FAULT = {
--- a/packages/standins/src/serving/fleet_forwarding_test.ts
+++ b/packages/standins/src/serving/fleet_forwarding_test.ts
@@ -17,11 +17,11 @@
 } from "@limpetford/domain/ids";
 import { EntryVm } from "@limpetford/entry/vm/entry_vm";
 import { SystemClock } from "@limpetford/entry/vm/system_clock";
+import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 import { HttpLogService } from "@limpetford/platform/http/http_log_service";
 import { HttpVmList } from "@limpetford/platform/http/http_vm_list";
 
 import { BackendStandin } from "../backend/backend_standin.ts";
-import { generateLoopbackHost } from "../loopback_host.ts";
 import { PlatformStandin } from "../platform/platform_standin.ts";
 import { sendRequest } from "./http_client.ts";
 import { buildHarnessConfiguration, HARNESS_KEY } from "./serving_harness.ts";
--- a/packages/standins/src/serving/process_test.ts
+++ b/packages/standins/src/serving/process_test.ts
@@ -6,7 +6,6 @@
 
 import * as fs from "node:fs/promises";
 import * as https from "node:https";
-import * as net from "node:net";
 import * as os from "node:os";
 import * as path from "node:path";
 
@@ -14,11 +13,12 @@
 import { encodeConfigurationRecord } from "@limpetford/domain/configuration_codec";
 import { CONFIGURATION_STREAM } from "@limpetford/domain/configuration_record";
 import { type ConfigurationVersion, toId } from "@limpetford/domain/ids";
-import type { SocketAddress } from "@limpetford/domain/vm";
+import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import { VmProcess } from "@limpetford/entry/command/vm_process";
 import { hashCallerKey } from "@limpetford/entry/serving/caller_key";
 import { loadProcessSettings } from "@limpetford/entry/settings/process_settings";
 import { SystemClock } from "@limpetford/entry/vm/system_clock";
+import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 import { HttpLogService } from "@limpetford/platform/http/http_log_service";
 import { generate } from "selfsigned";
 
@@ -29,16 +29,9 @@
 
 const MAX_TRIES = 400;
 const TRY_INTERVAL_MS = 50;
-
-async function findFreePort(): Promise<SocketAddress> {
-  const server = net.createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, "127.0.0.1", resolve);
-  });
-  const address = server.address() as net.AddressInfo;
-  await new Promise((resolve) => server.close(resolve));
-  return { host: "127.0.0.1", port: address.port };
-}
+const CALLER_PORT = 18_001;
+const OPERATOR_PORT = 18_002;
+const PEER_PORT = 18_004;
 
 async function waitUntil(check: () => Promise<boolean>): Promise<void> {
   for (let tries = 0; tries < MAX_TRIES; tries++) {
@@ -86,10 +79,11 @@
 describe("a process with a settings file", () => {
   it("serves TLS callers and operators, and stops on SIGTERM", async () => {
     const directory = await fs.mkdtemp(path.join(os.tmpdir(), "limpetford-"));
+    const host = generateLoopbackHost();
     const { cert, private: key } = await generate(undefined, {
       extensions: [{
         name: "subjectAltName",
-        altNames: [{ type: 7, ip: "127.0.0.1" }],
+        altNames: [{ type: 7, ip: host }],
       }],
     });
     await fs.writeFile(path.join(directory, "caller.pem"), cert);
@@ -115,16 +109,15 @@
       proposedAtMs: 0,
       changes: computeChanges(emptyConfiguration, configuration),
     })]);
-    const caller = await findFreePort();
-    const operator = await findFreePort();
-    const peer = await findFreePort();
+    const caller = { host, port: CALLER_PORT };
+    const operator = { host, port: OPERATOR_PORT };
     const file = path.join(directory, "settings.yaml");
     await fs.writeFile(
       file,
       [
         "vm: {id: vm-1, zone: amba-a, region: amba}",
-        `addresses: {caller: "127.0.0.1:${caller.port}", ` +
-        `peer: "127.0.0.1:${peer.port}", operator: "127.0.0.1:${operator.port}"}`,
+        `addresses: {caller: "${formatAddress(caller)}", ` +
+        `peer: "${host}:${PEER_PORT}", operator: "${formatAddress(operator)}"}`,
         `platform: {log: "${platformUrl}", vmList: "${platformUrl}"}`,
         "tls: {caller: {certificate: caller.pem, privateKey: caller.key}}",
         "limits: {linger: 10ms, drainTimeout: 40s}",
