fix: an answer in one packet with a copy of an earlier one is delivered

Several copies before one answer did the same.

Cause: the next response was asked for only when the copy had ended. The HTTP client takes a response only if a request waits for it, and parses what it has read to its end first, so the answer behind the copy was a "bad response" by then.

Change: the next response is asked for as the copy's head arrives, behind it in the client's queue; what the client would send for it is dropped. A connection that the copy closes, or a request whose body is still being sent, fails as before. Up to eight copies are read before an attempt is given up, one until now.

Ruled out: a parser of our own (binding). Asking for it while the connection rests: undici reads a resting connection before it is used again, a copy there closes it.

--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -16,16 +16,14 @@
   RESPONSE_OWNER,
 } from "./attempt_message.ts";
 import type { BackendConnection } from "./backend_connection_pool.ts";
-import { checkResponseFraming } from "./response_framing.ts";
+import {
+  checkResponseFraming,
+  computeMaxResponseBytes,
+} from "./response_framing.ts";
 
-/**
- * Bytes beside the body that a response may have: status line, headers, chunk
- * sizes, trailers, and what the socket has buffered.
- */
-const MAX_FRAMING_BYTES = 262_144;
-/** The same for each byte of the body; a chunk of one byte takes six. */
-const MAX_FRAMING_BYTES_PER_BODY_BYTE = 16;
 const FIRST_UNSUCCESSFUL_STATUS = 300;
+/** Copies of earlier responses that are read before the attempt is given up. */
+const MAX_SKIPPED_COPIES = 8;
 
 /**
  * Sends a request once over its own connection and reports the response to a
@@ -54,6 +52,8 @@
   #isSuccess = false;
   /** True while a copy of an earlier response is read. */
   #isSkipping = false;
+  /** Number of such copies so far. */
+  #skippedCount = 0;
   /** True once the response to this attempt is expected behind such a copy. */
   #isReceivingNext = false;
   #isConnectionKept = true;
@@ -167,7 +167,8 @@
       controller.abort(new Error("attempt has already ended"));
       return;
     }
-    if (this.#isReceivingNext && this.#connection.isMuted) {
+    if (this.#isReceivingNext) {
+      this.#connection.dropWrites();
       this.#controller = controller;
       return;
     }
@@ -212,7 +213,7 @@
       answeredIds,
     );
     if (owner === RESPONSE_OWNER.earlier) {
-      this.#isSkipping = true;
+      this.#dropCopy();
       return;
     }
     this.#isSuccess = status < FIRST_UNSUCCESSFUL_STATUS;
@@ -263,7 +264,7 @@
       return;
     }
     if (this.#isSkipping) {
-      this.#receiveNext();
+      this.#isSkipping = false;
       return;
     }
     this.#hasEnded = true;
@@ -292,9 +293,7 @@
   // number of informational responses, and chunk extensions.
   #checkFraming(): void {
     const read = this.#connection.bytesRead - this.#bytesReadBefore;
-    const limit = MAX_FRAMING_BYTES +
-      (1 + MAX_FRAMING_BYTES_PER_BODY_BYTE) * this.#responseBytes;
-    if (read > limit) {
+    if (read > computeMaxResponseBytes(this.#responseBytes)) {
       this.#reportFailure({
         outcome: this.#hasHead ? "cut" : "reset-before-first-byte",
         isMalformed: true,
@@ -339,15 +338,14 @@
     }
   }
 
-  // A copy of an earlier response has ended; the response to this attempt follows.
-  #receiveNext(): void {
-    this.#isSkipping = false;
+  // A copy of an earlier response has begun; the response to this attempt follows.
+  #dropCopy(): void {
+    this.#isSkipping = true;
     this.#isReceivingNext = true;
+    this.#skippedCount += 1;
     if (
-      !this.#connection.receiveNext(
-        this.request.method,
-        buildAttemptHandler(this),
-      )
+      this.#skippedCount > MAX_SKIPPED_COPIES ||
+      !this.#connection.receiveNext(buildAttemptHandler(this))
     ) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
     }
--- a/packages/entry/src/serving/backend_attempt_test.ts
+++ b/packages/entry/src/serving/backend_attempt_test.ts
@@ -45,13 +45,18 @@
   }
 }
 
-async function sendTo(
-  answer: (socket: net.Socket) => void,
-): Promise<AttemptEnd> {
+type Answer = (socket: net.Socket) => void;
+
+// Sends one request for each answer, the next one after the end of the last.
+async function sendInTurn(
+  answers: readonly Answer[],
+): Promise<readonly AttemptEnd[]> {
+  let received = 0;
   const server = net.createServer((socket) => {
     socket.on("error", () => undefined);
-    socket.once("data", () => {
-      answer(socket);
+    socket.on("data", () => {
+      answers[received]?.(socket);
+      received += 1;
     });
   });
   await new Promise<void>((resolve) => {
@@ -60,25 +65,37 @@
   const { port } = server.address() as net.AddressInfo;
   const clock = new SystemClock();
   const pool = new BackendConnectionPool(clock);
-  const listener = new EndListener();
-  const attempt = new BackendAttempt(
-    {
-      method: "GET",
-      target: "/",
-      headers: [],
-      body: undefined,
-      identity: { id: "", readId: () => undefined },
-      isProven: () => true,
-      mayEndWithConnection: true,
-      mayDispatch: undefined,
-    },
-    pool.acquire({ host: "127.0.0.1", port }),
-    { clock, listener },
-  );
-  attempt.start();
-  const end = await listener.ended;
+  const ends: AttemptEnd[] = [];
+  for (const index of answers.keys()) {
+    const listener = new EndListener();
+    const attempt = new BackendAttempt(
+      {
+        method: "GET",
+        target: "/",
+        headers: [],
+        body: undefined,
+        identity: {
+          id: String(index),
+          readId: ({ id }) => id?.toString(),
+        },
+        isProven: () => true,
+        mayEndWithConnection: true,
+        mayDispatch: undefined,
+      },
+      pool.acquire({ host: "127.0.0.1", port }),
+      { clock, listener },
+    );
+    attempt.start();
+    ends.push(await listener.ended);
+  }
   await pool.close();
   await new Promise((resolve) => server.close(resolve));
+  expect(received).toBe(answers.length);
+  return ends;
+}
+
+async function sendTo(answer: Answer): Promise<AttemptEnd | undefined> {
+  const [end] = await sendInTurn([answer]);
   return end;
 }
 
@@ -139,7 +156,7 @@
       socket.on("drain", fill);
       fill();
     });
-    expect(end.kind).toBe("failed");
+    expect(end?.kind).toBe("failed");
     expect(sent).toBeLessThan(MAX_ENDLESS_BYTES);
   }, 5_000);
 
@@ -195,3 +212,55 @@
     expect(end).toEqual({ kind: "complete", body: "whole" });
   });
 });
+
+const EARLIER = "HTTP/1.1 503 No\r\nid: 0\r\ncontent-length: 4\r\n\r\nbusy";
+const EARLIER_TO_CLOSE = EARLIER.replace("id: 0", "id: 0\r\nconnection: close");
+const LATER = "HTTP/1.1 200 OK\r\nid: 1\r\ncontent-length: 5\r\n\r\nwhole";
+const COMPLETE: AttemptEnd = { kind: "complete", body: "whole" };
+
+interface RepeatedAnswer {
+  readonly name: string;
+  /** Packets that answer the second request, 20 ms apart. */
+  readonly packets: readonly string[];
+  readonly end: AttemptEnd;
+}
+
+const REPEATED_ANSWERS: readonly RepeatedAnswer[] = [
+  { name: "before it", packets: [EARLIER, LATER], end: COMPLETE },
+  { name: "in one packet", packets: [EARLIER + LATER], end: COMPLETE },
+  {
+    name: "cut anywhere",
+    packets: [EARLIER.slice(0, 20), EARLIER.slice(20) + LATER.slice(0, 30)]
+      .concat(LATER.slice(30)),
+    end: COMPLETE,
+  },
+  { name: "twice", packets: [EARLIER + EARLIER + LATER], end: COMPLETE },
+  {
+    name: "twice, apart",
+    packets: [EARLIER, EARLIER, LATER],
+    end: COMPLETE,
+  },
+  {
+    name: "and closes",
+    packets: [EARLIER_TO_CLOSE + LATER],
+    end: { kind: "failed", outcome: "reset-before-first-byte" },
+  },
+];
+
+// Guards against an answer that is lost, since a copy of an earlier one on the
+// same connection comes before it or in one packet with it.
+describe("BackendAttempt behind a copy of an earlier answer", () => {
+  it.each(REPEATED_ANSWERS)("ends truly: $name", async ({ packets, end }) => {
+    const ends = await sendInTurn([
+      (socket): void => {
+        socket.write(EARLIER);
+      },
+      (socket): void => {
+        for (const [index, packet] of packets.entries()) {
+          setTimeout(() => socket.write(packet), 20 * index);
+        }
+      },
+    ]);
+    expect(ends).toEqual([{ kind: "complete", body: "busy" }, end]);
+  });
+});
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -11,6 +11,8 @@
 const DEFAULT_MAX_HEADER_BYTES = 32_768;
 /** Earlier requests of a connection of which a copy of the response is expected. */
 const MAX_ANSWERED_IDS = 8;
+/** A response that is read and left, and the one behind it. */
+const RECEIVED_AT_ONCE = 2;
 /** Message of undici's error for a response to no request. */
 const UNSOLICITED_RESPONSE_MESSAGE = "bad response";
 /** Prefix of the error codes of undici's HTTP parser. */
@@ -50,8 +52,8 @@
   servedCount = 0;
   /** Identifiers of the last of these requests, the oldest first. */
   answeredIds: readonly string[] = [];
-  /** True if nothing that is written to the socket is sent any more. */
-  isMuted = false;
+  /** True if the connection sends no further request. */
+  #isReceivingOnly = false;
   /** Monotonic time of the last release, in milliseconds. */
   idleSinceMs = 0;
   readonly #release: (connection: BackendConnection) => void;
@@ -132,33 +134,48 @@
   }
 
   /**
-   * Receives one more response, without sending anything for it. The connection
-   * sends no request afterwards.
+   * Whether the connection only receives, since `receiveNext` was called.
    *
-   * @param method - method of the request that the response answers
-   * @param handler - receives the response
+   * @returns true if it sends no further request
+   */
+  get isReceivingOnly(): boolean {
+    return this.#isReceivingOnly;
+  }
+
+  /**
+   * Receives one more response behind the one that is being received, also if both
+   * came in one packet. The connection sends no request afterwards.
+   *
+   * @param handler - receives the response; its `onRequestStart` must call
+   * `dropWrites`
    * @returns false if the connection is closed
    */
-  receiveNext(method: string, handler: Dispatcher.DispatchHandler): boolean {
-    const { socket } = this;
-    if (socket === undefined || socket.destroyed || this.isMuted) {
+  receiveNext(handler: Dispatcher.DispatchHandler): boolean {
+    if (this.socket === undefined || this.socket.destroyed) {
       return false;
     }
-    // The HTTP client has no call that only receives.
-    socket.write = (): boolean => true;
-    this.isMuted = true;
+    this.#isReceivingOnly = true;
+    // The HTTP client has no call that only receives: it takes a response only if
+    // a request waits for it.
+    this.client.pipelining = RECEIVED_AT_ONCE;
     try {
-      return this.client.dispatch({
-        method: method === "HEAD" ? "HEAD" : "GET",
-        path: "/",
-        idempotent: false,
-        blocking: false,
-      }, handler) || true;
+      this.client.dispatch(
+        { method: "GET", path: "/", idempotent: true, blocking: false },
+        handler,
+      );
+      return true;
     } catch {
       return false;
     }
   }
 
+  /** Drops whatever is written to the socket from now on. */
+  dropWrites(): void {
+    if (this.socket !== undefined) {
+      this.socket.write = (): boolean => true;
+    }
+  }
+
   /** Destroys the socket and aborts the request that uses it. */
   abort(): void {
     this.client.destroy().catch(() => undefined);
@@ -291,7 +308,7 @@
     const client = new Client(`${scheme}://${address}`, {
       pipelining: 1,
       connect: (options, callback) => {
-        if (connection.isMuted) {
+        if (connection.isReceivingOnly) {
           callback(new Error("the connection has ended"), null);
           return;
         }
--- a/packages/entry/src/serving/response_framing.ts
+++ b/packages/entry/src/serving/response_framing.ts
@@ -1,5 +1,12 @@
-/** Detects responses whose truncation could not be noticed. */
+/** Detects responses whose truncation could not be noticed, or that never end. */
 
+/**
+ * Bytes beside the body that a response may have: status line, headers, chunk
+ * sizes, trailers, and what the socket has buffered.
+ */
+const MAX_FRAMING_BYTES = 262_144;
+/** The same for each byte of the body; a chunk of one byte takes six. */
+const MAX_FRAMING_BYTES_PER_BODY_BYTE = 16;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 
@@ -32,3 +39,13 @@
   return length === undefined && typeof encoding === "string" &&
     encoding.trim().toLowerCase() === "chunked";
 }
+
+/**
+ * Computes how many bytes a response may have so far.
+ *
+ * @param bodyBytes - bytes of its body received so far
+ * @returns the largest number of bytes, those of the body and the rest
+ */
+export function computeMaxResponseBytes(bodyBytes: number): number {
+  return MAX_FRAMING_BYTES + (1 + MAX_FRAMING_BYTES_PER_BODY_BYTE) * bodyBytes;
+}
--- a/packages/standins/src/fleet/repeated_refusal_test.ts
+++ b/packages/standins/src/fleet/repeated_refusal_test.ts
@@ -17,6 +17,12 @@
 /** Time between the copy of the refusal and the true answer. */
 const PROCESSING_MS = 40;
 
+const REPEATED = [
+  REPEATED_REFUSAL.identified,
+  REPEATED_REFUSAL.joined,
+  REPEATED_REFUSAL.anonymous,
+];
+
 interface EndedRequest {
   readonly path: string;
   readonly response: CallerResponse;
@@ -73,7 +79,7 @@
     return ended;
   }
 
-  it.each([REPEATED_REFUSAL.identified, REPEATED_REFUSAL.anonymous])(
+  it.each(REPEATED)(
     "is not taken for the answer to another request: %s",
     async (form) => {
       const ended = await sendThroughRefusals(form);
@@ -87,7 +93,7 @@
     },
   );
 
-  it.each([REPEATED_REFUSAL.identified, REPEATED_REFUSAL.anonymous])(
+  it.each(REPEATED)(
     "does not keep the answer of what has run from the caller: %s",
     async (form) => {
       const ended = await sendThroughRefusals(form);
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -56,6 +56,8 @@
   none: "none",
   /** As it was sent, with the identifier of the earlier request. */
   identified: "identified",
+  /** As `identified`, in one packet with the response to the next request. */
+  joined: "joined",
   /** Without the identifier of any request. */
   anonymous: "anonymous",
 } as const;
@@ -270,6 +272,7 @@
     }
     await new Promise((resolve) => setTimeout(resolve, this.processingMs));
     this.#writeResponse({ behavior, retryAfter }, request, response);
+    request.socket.uncork();
   }
 
   #writeRefusalAgain(socket: Socket): void {
@@ -277,9 +280,12 @@
     if (id === undefined || this.repeatedRefusal === REPEATED_REFUSAL.none) {
       return;
     }
-    const idLine = this.repeatedRefusal === REPEATED_REFUSAL.identified
-      ? `request-id: ${id}\r\n`
-      : "";
+    const idLine = this.repeatedRefusal === REPEATED_REFUSAL.anonymous
+      ? ""
+      : `request-id: ${id}\r\n`;
+    if (this.repeatedRefusal === REPEATED_REFUSAL.joined) {
+      socket.cork();
+    }
     socket.write(
       "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n" +
         `${idLine}content-length: 0\r\n\r\n`,
