--- a/packages/standins/src/fleet/departed_callers_test.ts
+++ b/packages/standins/src/fleet/departed_callers_test.ts
@@ -1,12 +1,14 @@
 import { execFileSync } from "node:child_process";
+import * as net from "node:net";
 
 import type {
   CallerRequest,
   CallerResponse,
 } from "../platform/caller_client.ts";
+import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { waitForLeader } from "./fleet_lookup.ts";
-import { FleetProcesses } from "./fleet_processes.ts";
+import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
 import {
   BUNDLE_DIRECTORY,
   SERVER_LINK_FAULT,
@@ -27,6 +29,7 @@
 const SLOW_PERIOD_MS = 100;
 const SLOW_FOR_MS = 4_000;
 const SETTLE_MS = 1_500;
+const PIPELINED_COUNT = 3;
 
 /** A request whose caller left without a response. */
 interface AbandonedRequest {
@@ -72,6 +75,25 @@
       : undefined;
   }
 
+  // Sends requests one behind the other, without waiting for the responses.
+  async function sendPipelinedAndLeave(
+    vm: VmProcessHandle,
+    paths: readonly string[],
+  ): Promise<readonly AbandonedRequest[]> {
+    const socket = net.connect(CALLER_PORT, vm.host);
+    socket.on("error", () => undefined);
+    const heads = paths.map((path) =>
+      `GET ${path} HTTP/1.1\r\nhost: bands.example\r\n` +
+      `${PROTOCOL_HEADER.requestId}: ${path}\r\n` +
+      `${PROTOCOL_HEADER.timeLeftMs}: 3000\r\n` +
+      `${PROTOCOL_HEADER.callerKey}: ${KEY}\r\n\r\n`
+    );
+    socket.write(heads.join(""));
+    await waitMs(PATIENCE_MS);
+    socket.destroy();
+    return paths.map((path) => ({ path, leftAtMs: Date.now() }));
+  }
+
   // Requests that reached a server too late after their callers had left.
   function listLate(
     abandoned: readonly (AbandonedRequest | undefined)[],
@@ -145,6 +167,39 @@
     );
   });
 
+  it.each([
+    { name: "held up", isHeldUp: true },
+    { name: "waiting for the first response", isHeldUp: false },
+  ])("are not sent where they came one behind the other: $name", async (
+    { isHeldUp },
+  ) => {
+    const vm = await waitForLeader(fleet, "zone-0");
+    await fleet.send(vm, buildRequest("warm", 0));
+    for (const server of fleet.servers) {
+      server.processingMs = HELD_UP_MS;
+    }
+    if (isHeldUp) {
+      vm.sendSignal("SIGSTOP");
+    }
+    const abandoned = await Promise.all(
+      Array.from({ length: CALLER_COUNT }, (_, index) => {
+        const paths = Array.from(
+          { length: PIPELINED_COUNT },
+          (_item, at) => `/read/piped-${index}-${at}`,
+        );
+        return sendPipelinedAndLeave(vm, paths);
+      }),
+    );
+    await waitMs(HELD_UP_MS - PATIENCE_MS);
+    vm.sendSignal("SIGCONT");
+    await waitMs(SETTLE_MS);
+    const received = fleet.servers.flatMap((server) => server.received);
+    expect(received.length > 1).toBe(!isHeldUp);
+    expect(listLate(abandoned.flat()).length).toBeLessThanOrEqual(
+      ALLOWED_LATE_REQUESTS,
+    );
+  });
+
   it("are not sent by another VM that was held up", async () => {
     const cutVms = fleet.vms.filter(({ zone }) => zone === "zone-0");
     const others = fleet.vms.filter(({ zone }) => zone === "zone-1");
--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -24,7 +24,8 @@
 import { TcpFaultProxy } from "../platform/tcp_fault_proxy.ts";
 import { type ServerLinkFault, VmProcessHandle } from "./vm_process_handle.ts";
 
-const CALLER_PORT = 18_001;
+/** Port of every VM for its callers. */
+export const CALLER_PORT = 18_001;
 const READY_PORT = 18_002;
 const DIRECTORY_PORT = 18_003;
 const PEER_PORT = 18_004;
