refactor: tests of placements build servers and requests in one place

Eight tests of placements, one of announced servers and two of the exchange between VMs each had their own literal of an announced server, eight of them of a request to be placed. They share two builders now (packages/core/src/fakes), and each names only what it needs. No value of a test changes: each passes its own zone, slots, times and the like.

--- a/packages/core/src/fleet/announced_servers_test.ts
+++ b/packages/core/src/fleet/announced_servers_test.ts
@@ -1,29 +1,14 @@
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import {
-  type ServerId,
-  type ServiceId,
-  toId,
-  type ZoneId,
-} from "@limpetford/domain/ids";
+import { type ServerId, toId } from "@limpetford/domain/ids";
 
+import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import { AnnouncedServers } from "./announced_servers.ts";
 
 const A = toId<ServerId>("a");
 
 function buildServer(changes: Partial<AnnouncedServer> = {}): AnnouncedServer {
-  return {
-    id: A,
-    service: toId<ServiceId>("s"),
-    zone: toId<ZoneId>("z"),
-    address: { host: "10.0.0.1", port: 80 },
-    slots: 3,
-    state: "active",
-    warmUpLeftMs: 0,
-    startedAtMs: 1_000,
-    sequence: 1,
-    ...changes,
-  };
+  return buildAnnouncedServer(A, { startedAtMs: 1_000, ...changes });
 }
 
 function describeAll(servers: AnnouncedServers): readonly string[] {
--- a/packages/core/src/placement/link_failure_evidence_test.ts
+++ b/packages/core/src/placement/link_failure_evidence_test.ts
@@ -1,18 +1,17 @@
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
 import {
-  type RouteId,
   type ServerId,
-  type ServiceId,
   type TeamId,
   toId,
   type ZoneId,
 } from "@limpetford/domain/ids";
-import { SERVER_STATE } from "@limpetford/domain/service";
 
 import type {
   AttemptOutcome,
   AttemptSample,
 } from "../evidence/attempt_sample.ts";
+import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import { EVIDENCE } from "./gray_failure_estimator.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
@@ -24,31 +23,18 @@
 
 const SERVERS: readonly AnnouncedServer[] = Array.from(
   { length: SERVER_COUNT },
-  (_, index) => ({
-    id: toId<ServerId>(`i-${index}`),
-    service: toId<ServiceId>("s"),
-    zone: ZONE,
-    address: { host: "127.0.0.1", port: 1_000 + index },
-    slots: 3,
-    state: SERVER_STATE.active,
-    warmUpLeftMs: 0,
-    startedAtMs: 1,
-    sequence: 1,
-  }),
+  (_, index) =>
+    buildAnnouncedServer(`i-${index}`, {
+      zone: ZONE,
+      address: { host: "127.0.0.1", port: 1_000 + index },
+    }),
 );
 
 function buildDemand(nowMs: number): PlacementDemand {
-  return {
-    team: toId<TeamId>("t"),
-    route: toId<RouteId>("r"),
-    isIdempotent: false,
-    isSuspect: false,
-    tried: [],
-    mayRetry: true,
-    priority: 0,
-    targetAtMs: nowMs + 1_000,
-    deadlineAtMs: nowMs + 3_000,
-  };
+  return buildPlacementDemand(
+    { targetAtMs: nowMs + 1_000, deadlineAtMs: nowMs + 3_000 },
+    { team: toId<TeamId>("t"), priority: 0 },
+  );
 }
 
 function buildSample(outcome: AttemptOutcome): AttemptSample {
--- a/packages/core/src/placement/minimum_share_test.ts
+++ b/packages/core/src/placement/minimum_share_test.ts
@@ -5,17 +5,18 @@
 
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
 import {
-  type RouteId,
   type ServerId,
-  type ServiceId,
   toId,
   type VmId,
   type ZoneId,
 } from "@limpetford/domain/ids";
 
+import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import { EVIDENCE } from "./gray_failure_estimator.ts";
 import type { TakenSlot } from "./placement_decision.ts";
+import type { PlacementDemand } from "./placement_demand.ts";
 import { ServicePlacement } from "./service_placement.ts";
 
 const ZONES = ["a", "b", "c", "d"].map((zone) => toId<ZoneId>(zone));
@@ -51,17 +52,17 @@
 }
 
 function buildServer(index: number): AnnouncedServer {
-  return {
-    id: toId<ServerId>(`i-${index}`),
-    service: toId<ServiceId>("s"),
+  return buildAnnouncedServer(`i-${index}`, {
     zone: ZONES[index % ZONES.length] ?? toId<ZoneId>("a"),
-    address: { host: "10.0.0.1", port: 80 },
     slots: 4,
-    state: "active",
-    warmUpLeftMs: 0,
-    startedAtMs: 1,
-    sequence: 1,
-  };
+  });
+}
+
+function buildDemand(nowMs: number): PlacementDemand {
+  return buildPlacementDemand({
+    targetAtMs: nowMs + 1_500,
+    deadlineAtMs: nowMs + 5_000,
+  });
 }
 
 /** Leaders of all zones, which tell each other what they see. */
@@ -109,17 +110,7 @@
     const placement = this.#placements[zone];
     placement?.recordRequest();
     const decision = placement?.acquire(
-      {
-        team: undefined,
-        route: toId<RouteId>("r"),
-        isIdempotent: false,
-        isSuspect: false,
-        tried: [],
-        mayRetry: true,
-        priority: 1,
-        targetAtMs: nowMs + 1_500,
-        deadlineAtMs: nowMs + 5_000,
-      },
+      buildDemand(nowMs),
       "request",
       nowMs,
     );
@@ -241,17 +232,7 @@
     const used = new Set<string>();
     for (let nowMs = 0; nowMs < 2_500; nowMs += 100) {
       const decision = placement.acquire(
-        {
-          team: undefined,
-          route: toId<RouteId>("r"),
-          isIdempotent: false,
-          isSuspect: false,
-          tried: [],
-          mayRetry: true,
-          priority: 1,
-          targetAtMs: nowMs + 1_500,
-          deadlineAtMs: nowMs + 5_000,
-        },
+        buildDemand(nowMs),
         "request",
         nowMs,
       );
--- a/packages/core/src/placement/neglected_servers_test.ts
+++ b/packages/core/src/placement/neglected_servers_test.ts
@@ -1,12 +1,7 @@
-import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import {
-  type RouteId,
-  type ServerId,
-  type ServiceId,
-  toId,
-  type ZoneId,
-} from "@limpetford/domain/ids";
+import { type ServerId, toId, type ZoneId } from "@limpetford/domain/ids";
 
+import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
 import { findNeglectedServer } from "./neglected_servers.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
 import { TrackedServer } from "./tracked_server.ts";
@@ -17,33 +12,12 @@
 const SHED_AT_MS = NOW_MS - 400;
 
 function buildServer(id: string): TrackedServer {
-  const announced: AnnouncedServer = {
-    id: toId<ServerId>(id),
-    service: toId<ServiceId>("s"),
-    zone: ZONE,
-    address: { host: "10.0.0.1", port: 80 },
-    slots: 3,
-    state: "active",
-    warmUpLeftMs: 0,
-    startedAtMs: 1,
-    sequence: 1,
-  };
-  return new TrackedServer(announced, 0.1, 0);
+  return new TrackedServer(buildAnnouncedServer(id, { zone: ZONE }), 0.1, 0);
 }
 
 function buildDemand(changes: Partial<PlacementDemand> = {}): PlacementDemand {
-  return {
-    team: undefined,
-    route: toId<RouteId>("r"),
-    isIdempotent: false,
-    isSuspect: false,
-    tried: [],
-    mayRetry: true,
-    priority: 1,
-    targetAtMs: NOW_MS + 600,
-    deadlineAtMs: NOW_MS + 2_500,
-    ...changes,
-  };
+  const times = { targetAtMs: NOW_MS + 600, deadlineAtMs: NOW_MS + 2_500 };
+  return buildPlacementDemand(times, changes);
 }
 
 describe("findNeglectedServer", () => {
--- a/packages/core/src/placement/paused_placement_test.ts
+++ b/packages/core/src/placement/paused_placement_test.ts
@@ -3,15 +3,11 @@
 // against callers that wait for servers which do not take them.
 
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import {
-  type RouteId,
-  type ServerId,
-  type ServiceId,
-  toId,
-  type ZoneId,
-} from "@limpetford/domain/ids";
+import { type ServerId, toId, type ZoneId } from "@limpetford/domain/ids";
 import { SERVER_STATE } from "@limpetford/domain/service";
 
+import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import type { TakenSlot } from "./placement_decision.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
@@ -29,34 +25,21 @@
 const REUSE_MS = 1_000;
 
 function buildServer(index: number, startedAtMs = 1): AnnouncedServer {
-  return {
-    id: toId<ServerId>(`i-${index}`),
-    service: toId<ServiceId>("s"),
+  return buildAnnouncedServer(`i-${index}`, {
     zone: ZONE,
     address: { host: "10.0.0.1", port: 80 + index },
-    slots: 3,
-    state: SERVER_STATE.active,
-    warmUpLeftMs: 0,
     startedAtMs,
-    sequence: 1,
-  };
+  });
 }
 
 function buildDemand(
   nowMs: number,
   tried: readonly ServerId[] = [],
 ): PlacementDemand {
-  return {
-    team: undefined,
-    route: toId<RouteId>("r"),
-    isIdempotent: true,
-    isSuspect: false,
-    tried,
-    mayRetry: true,
-    priority: 1,
-    targetAtMs: nowMs + TARGET_MS,
-    deadlineAtMs: nowMs + DEADLINE_MS,
-  };
+  return buildPlacementDemand(
+    { targetAtMs: nowMs + TARGET_MS, deadlineAtMs: nowMs + DEADLINE_MS },
+    { isIdempotent: true, tried },
+  );
 }
 
 function createPlacement(seed: number): ServicePlacement<number> {
--- a/packages/core/src/placement/rate_limited_placement_test.ts
+++ b/packages/core/src/placement/rate_limited_placement_test.ts
@@ -3,14 +3,10 @@
 // limits must be used.
 
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import {
-  type RouteId,
-  type ServerId,
-  type ServiceId,
-  toId,
-  type ZoneId,
-} from "@limpetford/domain/ids";
+import { type ServerId, toId, type ZoneId } from "@limpetford/domain/ids";
 
+import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
 import { ServerLimitBucket } from "../limits/server_limit_bucket.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import type { PlacementDecision, TakenSlot } from "./placement_decision.ts";
@@ -28,31 +24,14 @@
 const DEADLINE_MS = 4_000;
 
 function buildServer(index: number): AnnouncedServer {
-  return {
-    id: toId<ServerId>(`i-${index}`),
-    service: toId<ServiceId>("s"),
-    zone: ZONE,
-    address: { host: "10.0.0.1", port: 80 },
-    slots: 3,
-    state: "active",
-    warmUpLeftMs: 0,
-    startedAtMs: 1,
-    sequence: 1,
-  };
+  return buildAnnouncedServer(`i-${index}`, { zone: ZONE });
 }
 
 function buildDemand(nowMs: number): PlacementDemand {
-  return {
-    team: undefined,
-    route: toId<RouteId>("r"),
-    isIdempotent: false,
-    isSuspect: false,
-    tried: [],
-    mayRetry: true,
-    priority: 1,
+  return buildPlacementDemand({
     targetAtMs: nowMs + TARGET_MS,
     deadlineAtMs: nowMs + DEADLINE_MS,
-  };
+  });
 }
 
 interface ReplayedRequest {
--- a/packages/core/src/placement/service_placement_test.ts
+++ b/packages/core/src/placement/service_placement_test.ts
@@ -1,16 +1,12 @@
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import {
-  type RouteId,
-  type ServerId,
-  type ServiceId,
-  toId,
-  type ZoneId,
-} from "@limpetford/domain/ids";
+import { type ServerId, toId, type ZoneId } from "@limpetford/domain/ids";
 
 import type {
   AttemptOutcome,
   AttemptSample,
 } from "../evidence/attempt_sample.ts";
+import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import type { PlacementDecision, TakenSlot } from "./placement_decision.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
@@ -22,36 +18,17 @@
   name: string,
   changes: Partial<AnnouncedServer> = {},
 ): AnnouncedServer {
-  return {
-    id: toId<ServerId>(name),
-    service: toId<ServiceId>("s"),
-    zone: ZONE,
-    address: { host: "10.0.0.1", port: 80 },
-    slots: 3,
-    state: "active",
-    warmUpLeftMs: 0,
-    startedAtMs: 1,
-    sequence: 1,
-    ...changes,
-  };
+  return buildAnnouncedServer(name, { zone: ZONE, ...changes });
 }
 
 function buildDemand(
   nowMs: number,
   changes: Partial<PlacementDemand> = {},
 ): PlacementDemand {
-  return {
-    team: undefined,
-    route: toId<RouteId>("r"),
-    isIdempotent: false,
-    isSuspect: false,
-    tried: [],
-    mayRetry: true,
-    priority: 1,
-    targetAtMs: nowMs + 600,
-    deadlineAtMs: nowMs + 2_500,
-    ...changes,
-  };
+  return buildPlacementDemand(
+    { targetAtMs: nowMs + 600, deadlineAtMs: nowMs + 2_500 },
+    changes,
+  );
 }
 
 function buildSample(
--- a/packages/core/src/placement/team_fairness_test.ts
+++ b/packages/core/src/placement/team_fairness_test.ts
@@ -1,16 +1,10 @@
 // Guards against a team that sends too much and crowds out the others while the
 // servers of a service are full.
 
-import {
-  type RouteId,
-  type ServerId,
-  type ServiceId,
-  type TeamId,
-  toId,
-  type ZoneId,
-} from "@limpetford/domain/ids";
-import { SERVER_STATE } from "@limpetford/domain/service";
+import { type TeamId, toId, type ZoneId } from "@limpetford/domain/ids";
 
+import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import type { TakenSlot, WaiterDecision } from "./placement_decision.ts";
 import { ServicePlacement } from "./service_placement.ts";
@@ -52,17 +46,8 @@
   }[] = [];
 
   constructor() {
-    this.#placement.setServers([{
-      id: toId<ServerId>("i"),
-      service: toId<ServiceId>("s"),
-      zone: ZONE,
-      address: { host: "10.0.0.1", port: 80 },
-      slots: SLOTS,
-      state: SERVER_STATE.active,
-      warmUpLeftMs: 0,
-      startedAtMs: 1,
-      sequence: 1,
-    }], 0);
+    const server = buildAnnouncedServer("i", { zone: ZONE, slots: SLOTS });
+    this.#placement.setServers([server], 0);
   }
 
   run(loads: readonly TeamLoad[]): void {
@@ -88,17 +73,10 @@
     this.sent.set(team, (this.sent.get(team) ?? 0) + 1);
     const request = { team, sentAtMs: nowMs };
     const decision = this.#placement.acquire(
-      {
-        team: toId<TeamId>(team),
-        route: toId<RouteId>("r"),
-        isIdempotent: true,
-        isSuspect: false,
-        tried: [],
-        mayRetry: true,
-        priority: 1,
-        targetAtMs: nowMs + TARGET_MS,
-        deadlineAtMs: nowMs + DEADLINE_MS,
-      },
+      buildPlacementDemand(
+        { targetAtMs: nowMs + TARGET_MS, deadlineAtMs: nowMs + DEADLINE_MS },
+        { team: toId<TeamId>(team), isIdempotent: true },
+      ),
       request,
       nowMs,
     );
--- a/packages/core/src/placement/zone_preference_test.ts
+++ b/packages/core/src/placement/zone_preference_test.ts
@@ -2,16 +2,13 @@
 // grows with the size of the responses.
 
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import {
-  type RouteId,
-  type ServerId,
-  type ServiceId,
-  toId,
-  type ZoneId,
-} from "@limpetford/domain/ids";
+import { type ServerId, toId, type ZoneId } from "@limpetford/domain/ids";
 
+import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import type { TakenSlot } from "./placement_decision.ts";
+import type { PlacementDemand } from "./placement_demand.ts";
 import { ServicePlacement } from "./service_placement.ts";
 
 const OWN = toId<ZoneId>("own");
@@ -23,17 +20,21 @@
 
 function buildServers(): readonly AnnouncedServer[] {
   return SERVERS_BY_ZONE.flatMap(([zone, count]) =>
-    Array.from({ length: count }, (_, index) => ({
-      id: toId<ServerId>(`${zone}-${index}`),
-      service: toId<ServiceId>("s"),
-      zone: toId<ZoneId>(zone),
-      address: { host: "10.0.0.1", port: 80 },
-      slots: 4,
-      state: "active" as const,
-      warmUpLeftMs: 0,
-      startedAtMs: 1,
-      sequence: 1,
-    }))
+    Array.from(
+      { length: count },
+      (_, index) =>
+        buildAnnouncedServer(`${zone}-${index}`, {
+          zone: toId<ZoneId>(zone),
+          slots: 4,
+        }),
+    )
+  );
+}
+
+function buildDemand(nowMs: number): PlacementDemand {
+  return buildPlacementDemand(
+    { targetAtMs: nowMs + 600, deadlineAtMs: nowMs + 2_500 },
+    { isIdempotent: true },
   );
 }
 
@@ -96,17 +97,7 @@
     }
     placement.recordRequest();
     const decision = placement.acquire(
-      {
-        team: undefined,
-        route: toId<RouteId>("r"),
-        isIdempotent: true,
-        isSuspect: false,
-        tried: [],
-        mayRetry: true,
-        priority: 1,
-        targetAtMs: nowMs + 600,
-        deadlineAtMs: nowMs + 2_500,
-      },
+      buildDemand(nowMs),
       "request",
       nowMs,
     );
@@ -172,17 +163,7 @@
     let probes = 0;
     for (let nowMs = 0; nowMs < 1_400; nowMs += INTERVAL_MS) {
       const decision = placement.acquire(
-        {
-          team: undefined,
-          route: toId<RouteId>("r"),
-          isIdempotent: true,
-          isSuspect: false,
-          tried: [],
-          mayRetry: true,
-          priority: 1,
-          targetAtMs: nowMs + 600,
-          deadlineAtMs: nowMs + 2_500,
-        },
+        buildDemand(nowMs),
         "request",
         nowMs,
       );
--- a/packages/entry/src/fleet/server_rate_limits_test.ts
+++ b/packages/entry/src/fleet/server_rate_limits_test.ts
@@ -1,14 +1,8 @@
 // Guards against VMs that together send a server more than the limit it names:
 // at a start, when leaders change, on cuts, and when few VMs have heard of it.
 
+import { buildAnnouncedServer } from "@limpetford/core/fakes/announced_server_fake";
 import { FakeClock } from "@limpetford/core/time/fake_clock";
-import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import {
-  type ServerId,
-  type ServiceId,
-  toId,
-  type ZoneId,
-} from "@limpetford/domain/ids";
 import { makeError, makeOk } from "@limpetford/domain/result";
 
 import { buildEmptyConfiguration } from "../fakes/empty_configuration.ts";
@@ -19,17 +13,7 @@
 const EXCHANGE_STEPS = 20;
 const DISCOVERY_STEPS = 2;
 const WINDOW_MS = 4_000;
-const SERVER: AnnouncedServer = {
-  id: toId<ServerId>("i-1"),
-  service: toId<ServiceId>("s"),
-  zone: toId<ZoneId>("z"),
-  address: { host: "10.0.0.1", port: 80 },
-  slots: 3,
-  state: "active",
-  warmUpLeftMs: 0,
-  startedAtMs: 1,
-  sequence: 1,
-};
+const SERVER = buildAnnouncedServer("i-1");
 
 // VMs of one zone, which exchange messages and calls unless they are cut from
 // each other.
--- a/packages/entry/src/fleet/sync_messages_test.ts
+++ b/packages/entry/src/fleet/sync_messages_test.ts
@@ -1,29 +1,13 @@
+import { buildAnnouncedServer } from "@limpetford/core/fakes/announced_server_fake";
 import { FakeClock } from "@limpetford/core/time/fake_clock";
-import type { AnnouncedServer } from "@limpetford/domain/announced_server";
-import {
-  type ServerId,
-  type ServiceId,
-  toId,
-  type VmId,
-  type ZoneId,
-} from "@limpetford/domain/ids";
+import { toId, type VmId } from "@limpetford/domain/ids";
 
 import { buildEmptyConfiguration } from "../fakes/empty_configuration.ts";
 import { buildExchangeVm, ExchangeSide } from "../fakes/exchange_side.ts";
 
 const CONFIGURATION = buildEmptyConfiguration(3);
 const POSITION = { era: 0, offset: 7 };
-const SERVER: AnnouncedServer = {
-  id: toId<ServerId>("i-1"),
-  service: toId<ServiceId>("s"),
-  zone: toId<ZoneId>("z"),
-  address: { host: "10.0.0.1", port: 80 },
-  slots: 3,
-  state: "active",
-  warmUpLeftMs: 0,
-  startedAtMs: 1,
-  sequence: 1,
-};
+const SERVER = buildAnnouncedServer("i-1");
 
 function recordCrash(
   side: ExchangeSide,
