test: the refused write of a suspicion is waited for before the store is back

An answer that comes after the test has moved the VM's clock puts the next write off by a second of that clock, which then stands (SuspicionsHandler waits WRITE_RETRY_MS after a failure), so looking again would not have helped. The test waits until the store has got the write.

--- a/packages/standins/src/platform/suspicion_store_test.ts
+++ b/packages/standins/src/platform/suspicion_store_test.ts
@@ -156,6 +156,11 @@
     vm.recordCrash("s1");
     vm.clock.advance(400);
     vm.recordCrash("s2");
+    for (
+      let tries = 0; tries < MAX_TRIES && store.requestCount === 0; tries++
+    ) {
+      await waitWritten(vm);
+    }
     await waitWritten(vm);
     store.fault = STORE_FAULT.none;
     vm.clock.advance(1_000);
