--- a/packages/core/src/fleet/announced_servers_test.ts
+++ b/packages/core/src/fleet/announced_servers_test.ts
@@ -1,7 +1,7 @@
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
 import { type ServerId, toId } from "@limpetford/domain/ids";
 
-import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
+import { buildAnnouncedServer } from "../fakes/announced_server.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import { AnnouncedServers } from "./announced_servers.ts";
 
--- a/packages/core/src/placement/link_failure_evidence_test.ts
+++ b/packages/core/src/placement/link_failure_evidence_test.ts
@@ -10,8 +10,8 @@
   AttemptOutcome,
   AttemptSample,
 } from "../evidence/attempt_sample.ts";
-import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
-import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
+import { buildAnnouncedServer } from "../fakes/announced_server.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import { EVIDENCE } from "./gray_failure_estimator.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
--- a/packages/core/src/placement/minimum_share_test.ts
+++ b/packages/core/src/placement/minimum_share_test.ts
@@ -11,8 +11,8 @@
   type ZoneId,
 } from "@limpetford/domain/ids";
 
-import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
-import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
+import { buildAnnouncedServer } from "../fakes/announced_server.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import { EVIDENCE } from "./gray_failure_estimator.ts";
 import type { TakenSlot } from "./placement_decision.ts";
--- a/packages/core/src/placement/neglected_servers_test.ts
+++ b/packages/core/src/placement/neglected_servers_test.ts
@@ -1,7 +1,7 @@
 import { type ServerId, toId, type ZoneId } from "@limpetford/domain/ids";
 
-import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
-import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
+import { buildAnnouncedServer } from "../fakes/announced_server.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand.ts";
 import { findNeglectedServer } from "./neglected_servers.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
 import { TrackedServer } from "./tracked_server.ts";
--- a/packages/core/src/placement/paused_placement_test.ts
+++ b/packages/core/src/placement/paused_placement_test.ts
@@ -6,8 +6,8 @@
 import { type ServerId, toId, type ZoneId } from "@limpetford/domain/ids";
 import { SERVER_STATE } from "@limpetford/domain/service";
 
-import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
-import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
+import { buildAnnouncedServer } from "../fakes/announced_server.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import type { TakenSlot } from "./placement_decision.ts";
 import type { PlacementDemand } from "./placement_demand.ts";
--- a/packages/core/src/placement/team_fairness_test.ts
+++ b/packages/core/src/placement/team_fairness_test.ts
@@ -3,8 +3,8 @@
 
 import { type TeamId, toId, type ZoneId } from "@limpetford/domain/ids";
 
-import { buildAnnouncedServer } from "../fakes/announced_server_fake.ts";
-import { buildPlacementDemand } from "../fakes/placement_demand_fake.ts";
+import { buildAnnouncedServer } from "../fakes/announced_server.ts";
+import { buildPlacementDemand } from "../fakes/placement_demand.ts";
 import { SeededRandomSource } from "../time/random_source.ts";
 import type { TakenSlot, WaiterDecision } from "./placement_decision.ts";
 import { ServicePlacement } from "./service_placement.ts";
--- a/packages/entry/src/fleet/server_rate_limits_test.ts
+++ b/packages/entry/src/fleet/server_rate_limits_test.ts
@@ -1,7 +1,7 @@
 // Guards against VMs that together send a server more than the limit it names:
 // at a start, when leaders change, on cuts, and when few VMs have heard of it.
 
-import { buildAnnouncedServer } from "@limpetford/core/fakes/announced_server_fake";
+import { buildAnnouncedServer } from "@limpetford/core/fakes/announced_server";
 import { FakeClock } from "@limpetford/core/time/fake_clock";
 import { makeError, makeOk } from "@limpetford/domain/result";
 
--- a/packages/entry/src/fleet/sync_messages_test.ts
+++ b/packages/entry/src/fleet/sync_messages_test.ts
@@ -1,4 +1,4 @@
-import { buildAnnouncedServer } from "@limpetford/core/fakes/announced_server_fake";
+import { buildAnnouncedServer } from "@limpetford/core/fakes/announced_server";
 import { FakeClock } from "@limpetford/core/time/fake_clock";
 import { toId, type VmId } from "@limpetford/domain/ids";
 
--- a/packages/standins/src/platform/suspicion_store_test.ts
+++ b/packages/standins/src/platform/suspicion_store_test.ts
@@ -157,7 +157,9 @@
     vm.clock.advance(400);
     vm.recordCrash("s2");
     for (
-      let tries = 0; tries < MAX_TRIES && store.requestCount === 0; tries++
+      let tries = 0;
+      tries < MAX_TRIES && store.requestCount === 0;
+      tries++
     ) {
       await waitWritten(vm);
     }
