fix: the body of a copy does not count as the body of the answer behind it

What a caller would have seen: 200 with an empty body, framed as whole, where a server wrote an earlier answer with a body once more, then began its true answer without a length and broke off before the body. Without a copy this ends as 502 (broken_head_test).

Cause: the bytes of a copy that is read and left counted as bytes of the response, by which an empty success without a length is told.

Change: they are counted apart; the bound on bytes that are no body has both.

Evidence: backend_attempt_test "whatever the copy had", red before ("complete", body ""), passes; 5 suites of serving and repeated_refusal_test pass.

--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -54,6 +54,8 @@
   #isSkipping = false;
   /** Number of such copies so far. */
   #skippedCount = 0;
+  /** Bytes of their bodies. */
+  #skippedBytes = 0;
   /** True once the response to this attempt is expected behind such a copy. */
   #isReceivingNext = false;
   #isConnectionKept = true;
@@ -246,10 +248,11 @@
     if (this.#isFinished) {
       return;
     }
-    this.#responseBytes += chunk.length;
     if (this.#isSkipping) {
+      this.#skippedBytes += chunk.length;
       return;
     }
+    this.#responseBytes += chunk.length;
     const previous = this.#pendingChunk;
     this.#pendingChunk = chunk;
     this.#scheduleFlush();
@@ -293,7 +296,8 @@
   // number of informational responses, and chunk extensions.
   #checkFraming(): void {
     const read = this.#connection.bytesRead - this.#bytesReadBefore;
-    if (read > computeMaxResponseBytes(this.#responseBytes)) {
+    const bodyBytes = this.#responseBytes + this.#skippedBytes;
+    if (read > computeMaxResponseBytes(bodyBytes)) {
       this.#reportFailure({
         outcome: this.#hasHead ? "cut" : "reset-before-first-byte",
         isMalformed: true,
--- a/packages/entry/src/serving/backend_attempt_test.ts
+++ b/packages/entry/src/serving/backend_attempt_test.ts
@@ -247,9 +247,24 @@
   },
 ];
 
+const LATER_WITHOUT_BODY =
+  "HTTP/1.1 200 OK\r\nid: 1\r\nconnection: close\r\n\r\n";
+
 // Guards against an answer that is lost, since a copy of an earlier one on the
 // same connection comes before it or in one packet with it.
 describe("BackendAttempt behind a copy of an earlier answer", () => {
+  it("fails if the server breaks off before the body, whatever the copy had", async () => {
+    const [, end] = await sendInTurn([
+      (socket): void => {
+        socket.write(EARLIER);
+      },
+      (socket): void => {
+        socket.end(EARLIER + LATER_WITHOUT_BODY);
+      },
+    ]);
+    expect(end).toEqual({ kind: "failed", outcome: "cut" });
+  });
+
   it.each(REPEATED_ANSWERS)("ends truly: $name", async ({ packets, end }) => {
     const ends = await sendInTurn([
       (socket): void => {
