fix: late in a planned stop only requests are sent whose deadline passes in time

Cause: StopSchedule let a request through by 1.25 times the longest recent duration of its route, until the end of the linger time. One booking in a hundred lasts five times as long as its fellows, and nothing bounded the error.

Ruled out: a larger margin (the same error), a later abort (moves the fault; the process has to end in time), the server (sound, answered).

Change: an estimate counts in the first 0.45 of the grace period only, so that the request has as much time again; later its deadline (caller's or route's) must pass before the abort.

--- a/packages/entry/src/fleet/fleet_drain.ts
+++ b/packages/entry/src/fleet/fleet_drain.ts
@@ -18,6 +18,11 @@
 const IDLE_LINGER_MS = 1_600;
 /** Share of the grace period after which in-flight requests are aborted. */
 const FORCED_STOP_SHARE = 0.9;
+/**
+ * Share of the grace period in which a request is sent on an estimate of its
+ * duration. It then has as much time again before it is aborted.
+ */
+const ESTIMATES_SHARE = FORCED_STOP_SHARE / 2;
 
 /** Dependencies of a {@link FleetDrain}. */
 export interface FleetDrainOptions {
@@ -54,7 +59,11 @@
       this.#options;
     const { stop, clock, log } = this.#options;
     const forcedStopMs = gracePeriodMs * FORCED_STOP_SHARE;
-    stop.setStopAt(clock.readMonotonicMs() + forcedStopMs);
+    const nowMs = clock.readMonotonicMs();
+    stop.begin({
+      estimatesUntilMs: nowMs + gracePeriodMs * ESTIMATES_SHARE,
+      stopAtMs: nowMs + forcedStopMs,
+    });
     log.record("drain-started", { inFlight: callerServer.inFlight });
     peers.isLeaving = true;
     peers.ownLeaderSinceMs = undefined;
--- a/packages/standins/src/fleet/planned_stop_test.ts
+++ b/packages/standins/src/fleet/planned_stop_test.ts
@@ -4,7 +4,7 @@
 import type { CallerResponse } from "../platform/caller_client.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { waitForLeader } from "./fleet_lookup.ts";
-import { FleetProcesses } from "./fleet_processes.ts";
+import { FleetProcesses, GRACE_PERIOD_SECONDS } from "./fleet_processes.ts";
 import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
@@ -13,6 +13,8 @@
 const KEPT_CALLERS = 14;
 const NEW_CALLER_INTERVAL_MS = 80;
 const BEFORE_STOP_MS = 3_000;
+const MS_PER_S = 1_000;
+const WARM_UP_REQUESTS = 12;
 
 interface EndedRequest {
   readonly path: string;
@@ -65,6 +67,22 @@
     agent.destroy();
   }
 
+  // Sends bookings so that durations of their route are known.
+  async function sendUsual(): Promise<void> {
+    for (let count = 0; count < WARM_UP_REQUESTS; count++) {
+      await sendBooking(`usual-${count}`);
+    }
+  }
+
+  async function sendBooking(index: string): Promise<CallerResponse> {
+    return await fleet.send(vm, {
+      path: `/book/${index}`,
+      key: KEY,
+      method: "POST",
+      body: "deposit",
+    });
+  }
+
   function countRuns(path: string): number {
     return fleet.servers.flatMap(({ received }) => received).filter((request) =>
       request.hasRun && request.target === path
@@ -105,4 +123,17 @@
       expect(served.length).toBeGreaterThan(0);
     },
   );
+
+  // Guards against a booking that is taken late and lasts longer than all before it.
+  it("cuts no booking that lasts longer than the others", async () => {
+    const stopAfterMs = GRACE_PERIOD_SECONDS * MS_PER_S;
+    await sendUsual();
+    vm.sendSignal("SIGTERM");
+    await waitMs(0.55 * stopAfterMs);
+    for (const server of fleet.servers) {
+      server.processingMs = 0.45 * stopAfterMs;
+    }
+    const response = await sendBooking("long");
+    expect(response.status === 0 && countRuns("/book/long") > 0).toBe(false);
+  });
 });
