fix: what has not ended when a VM stops hears whether it was sent

Callers saw: requests that still waited for a slot when their VM ended got no answer at all, their connections were reset (LOST: read whole, never answered).

Cause: the stop schedule was asked when a request came and when it got a slot, not while it waited, and CallerServer.stop closed all connections without a word.

Ruled out: the server's queue (nothing was sent), the linger time (the requests were read long before its end).

--- a/packages/core/src/placement/wait_queue.ts
+++ b/packages/core/src/placement/wait_queue.ts
@@ -62,6 +62,18 @@
     return true;
   }
 
+  /**
+   * Takes some requests out of the queue.
+   *
+   * @param isTaken - chooses them
+   * @returns the entries, in the order of their arrival
+   */
+  takeMatching(isTaken: (waiter: Waiter<T>) => boolean): readonly Waiter<T>[] {
+    const taken = this.#waiters.filter(isTaken);
+    this.#waiters = this.#waiters.filter((waiter) => !taken.includes(waiter));
+    return taken;
+  }
+
   /**
    * Takes all requests out of the queue.
    *
@@ -177,11 +189,9 @@
     nowMs: number,
     estimateMs: (demand: PlacementDemand) => number,
   ): readonly Waiter<T>[] {
-    const expired = this.#waiters.filter((waiter) =>
-      nowMs + estimateMs(waiter.demand) > waiter.demand.deadlineAtMs
+    return this.takeMatching(({ demand }) =>
+      nowMs + estimateMs(demand) > demand.deadlineAtMs
     );
-    this.#waiters = this.#waiters.filter((waiter) => !expired.includes(waiter));
-    return expired;
   }
 
   // A team's next request has its team's count as its turn, the others follow.
--- a/packages/entry/src/fleet/fleet_drain.ts
+++ b/packages/entry/src/fleet/fleet_drain.ts
@@ -39,7 +39,7 @@
 
 /**
  * Resigns as leader, still accepts requests for a while, then finishes those in
- * flight.
+ * flight. What is left at the end gets a refusal that says whether it was sent.
  */
 export class FleetDrain {
   readonly #options: FleetDrainOptions;
@@ -76,5 +76,6 @@
     });
     await Promise.race([callerServer.drain(lingerMs), forcedStop]);
     log.record("stopped", { inFlight: callerServer.inFlight });
+    callerServer.abortRequests();
   }
 }
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -30,14 +30,11 @@
   ServiceBalancers,
 } from "./service_balancers.ts";
 import type { StopSchedule } from "./stop_schedule.ts";
+import { STOPPING_VERDICT, WaitingRequests } from "./waiting_requests.ts";
 import type { ZoneTraffic } from "./zone_traffic.ts";
 
-/** Time between checks of the queued requests. */
-const QUEUE_CHECK_INTERVAL_MS = 20;
 /** Retry delay told to callers of a service without available servers. */
 const NO_SERVER_RETRY_MS = 500;
-/** Callers can ask another VM at once. */
-const STOPPING_VERDICT = { kind: "vm-stopping", retryAfterMs: 0 } as const;
 /** How long after a request this VM counts as serving callers. */
 const RECENT_REQUEST_MS = 2_000;
 /** A hedge is sent after this multiple of the expected service time. */
@@ -71,12 +68,7 @@
   readonly #options: PlacementRouterOptions;
   readonly #log: PlacementLog;
   readonly #notices: ServerNotices;
-  /** Queue entries of the requests that have been queued. */
-  readonly #waiters = new WeakMap<
-    PendingPlacement,
-    Waiter<PendingPlacement>
-  >();
-  #isTickScheduled = false;
+  readonly #waiting: WaitingRequests;
   #requestedAtMs = -Infinity;
   #failureListener: (() => void) | undefined;
 
@@ -90,6 +82,13 @@
     this.#options = options;
     this.#log = new PlacementLog(options);
     this.#notices = new ServerNotices(options);
+    this.#waiting = new WaitingRequests({
+      balancers: options.balancers,
+      mayEndInTime: (service, request) => this.#mayEndInTime(service, request),
+      decide: (service) => {
+        this.#decideWaiting(service);
+      },
+    });
   }
 
   /**
@@ -215,8 +214,7 @@
     const decision = service.acquire(demand, pending, clock.readMonotonicMs());
     if (decision.kind === "waiting") {
       this.#log.recordWaiting(pending.request, service.waitingCount);
-      this.#observeCaller(service, decision.waiter);
-      this.#scheduleTick();
+      this.#waiting.observe(service, decision.waiter);
       return;
     }
     this.#settle(service, pending, decision);
@@ -278,8 +276,7 @@
       untilMs: nowMs + verdict.retryAfterMs,
     });
     if (decision.kind === "waiting") {
-      this.#observeCaller(service, decision.waiter);
-      this.#scheduleTick();
+      this.#waiting.observe(service, decision.waiter);
     } else {
       this.#settle(service, pending, decision);
     }
@@ -338,30 +335,15 @@
   }
 
   #decideWaiting(service: Balancer): void {
+    if (this.#options.stop.isStopping) {
+      this.#waiting.refuseLate(service);
+    }
     const nowMs = this.#options.clock.readMonotonicMs();
     for (const { waiter, decision } of service.decideWaiting(nowMs)) {
       this.#settle(service, waiter.item, decision);
     }
   }
 
-  // A queued request must not take a slot after its caller has disconnected. A
-  // request may be queued many times, but its caller is observed once.
-  #observeCaller(
-    service: Balancer,
-    waiter: Waiter<PendingPlacement>,
-  ): void {
-    const { item } = waiter;
-    const isObserved = this.#waiters.has(item);
-    this.#waiters.set(item, waiter);
-    if (item.request.signal.aborted) {
-      this.#withdraw(service, item);
-    } else if (!isObserved) {
-      item.request.signal.addEventListener("abort", () => {
-        this.#withdraw(service, item);
-      }, { once: true });
-    }
-  }
-
   #forwardWaiter(service: Balancer, waiter: Waiter<PendingPlacement>): void {
     const { item } = waiter;
     const placement = this.#options.forwarder.forward(item.request);
@@ -372,29 +354,4 @@
       item.resolve({ kind: "placed", placement });
     }
   }
-
-  #withdraw(service: Balancer, pending: PendingPlacement): void {
-    const waiter = this.#waiters.get(pending);
-    if (waiter !== undefined && service.waiting.remove(waiter)) {
-      pending.resolve({ kind: "overloaded", retryAfterMs: 0 });
-    }
-  }
-
-  #scheduleTick(): void {
-    if (this.#isTickScheduled) {
-      return;
-    }
-    this.#isTickScheduled = true;
-    setTimeout(() => {
-      this.#isTickScheduled = false;
-      let hasWaiting = false;
-      for (const service of this.#options.balancers.list()) {
-        this.#decideWaiting(service);
-        hasWaiting ||= service.waitingCount > 0;
-      }
-      if (hasWaiting) {
-        this.#scheduleTick();
-      }
-    }, QUEUE_CHECK_INTERVAL_MS);
-  }
 }
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -246,6 +246,11 @@
     this.#connections.closeIdle(addresses);
   }
 
+  /** Gives each unclaimed request in flight its final answer. */
+  abortRequests(): void {
+    this.#pipeline.abort();
+  }
+
   /** Stops immediately; requests in flight are aborted. */
   async stop(): Promise<void> {
     this.#isStopping = true;
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -17,7 +17,7 @@
 } from "./attempt_listener.ts";
 import { openAttemptSpan } from "./attempt_span.ts";
 import { BackendAttempt } from "./backend_attempt.ts";
-import { BufferingReceiver } from "./buffering_receiver.ts";
+import { buildBufferedReceiver } from "./buffering_receiver.ts";
 import {
   buildRefusal,
   mapFailure,
@@ -86,10 +86,7 @@
     this.#dependencies = dependencies;
     this.#attempts = new AttemptCounter(request.context.terms);
     this.#request = request;
-    const { bufferedResponseBytes } = dependencies.dialect;
-    this.#receiver = bufferedResponseBytes > 0
-      ? new BufferingReceiver(receiver, bufferedResponseBytes)
-      : receiver;
+    this.#receiver = buildBufferedReceiver(receiver, dependencies.dialect);
   }
 
   /**
@@ -142,6 +139,11 @@
     this.#abortAll(outcome, "deadline-passed");
   }
 
+  /** Cancels all attempts because this VM stops. */
+  stop(): void {
+    this.#abortAll("cancelled", "vm-stopping");
+  }
+
   /** Continues a response that the receiver has paused. */
   resume(): void {
     this.#isPaused = false;
--- a/packages/entry/src/serving/buffering_receiver.ts
+++ b/packages/entry/src/serving/buffering_receiver.ts
@@ -1,5 +1,6 @@
 /** Buffers the start of a response before it is forwarded. */
 
+import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import type { ResponseHead } from "./attempt_listener.ts";
 import type { Refusal } from "./refusal.ts";
 import { ResponseReceiver } from "./response_receiver.ts";
@@ -81,3 +82,19 @@
     return body;
   }
 }
+
+/**
+ * Puts a buffer before a receiver, if the dialect asks for one.
+ *
+ * @param receiver - receives the response
+ * @param dialect - names the size of the buffered body; 0 for no buffer
+ * @returns the receiver to use in its place
+ */
+export function buildBufferedReceiver(
+  receiver: ResponseReceiver,
+  { bufferedResponseBytes }: Pick<ServingDialect, "bufferedResponseBytes">,
+): ResponseReceiver {
+  return bufferedResponseBytes > 0
+    ? new BufferingReceiver(receiver, bufferedResponseBytes)
+    : receiver;
+}
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -66,6 +66,9 @@
   readonly #streamAboveBytes: number;
   readonly #arrivals: ArrivalQueue;
   readonly #idleListeners: (() => void)[] = [];
+  /** Unclaimed requests in flight; undefined until their attempts begin. */
+  readonly #unclaimed = new Map<CallerExchange, AttemptSeries | undefined>();
+  #isAborted = false;
   #inFlight = 0;
 
   /**
@@ -130,6 +133,21 @@
     }
   }
 
+  /**
+   * Refuses the requests that have not been sent, and all that come later. Those
+   * that were sent end with an unknown outcome. Claimed requests go on.
+   */
+  abort(): void {
+    this.#isAborted = true;
+    for (const [exchange, series] of [...this.#unclaimed]) {
+      if (series === undefined) {
+        exchange.refuse(refuseNotRun("vm-stopping"));
+      } else {
+        series.stop();
+      }
+    }
+  }
+
   /**
    * Serves a request that was read, unless its caller leaves before its turn.
    *
@@ -207,6 +225,16 @@
   }
 
   async #serveUnclaimed(admitted: AdmittedExchange): Promise<void> {
+    const { exchange } = admitted;
+    this.#unclaimed.set(exchange, undefined);
+    try {
+      await this.#serveOnce(admitted);
+    } finally {
+      this.#unclaimed.delete(exchange);
+    }
+  }
+
+  async #serveOnce(admitted: AdmittedExchange): Promise<void> {
     const { context, exchange } = admitted;
     this.#ports.decisions?.recordAdmitted(context, exchange.maxUnreadMs);
     // The VM that forwarded a request to this one's peer address took its token.
@@ -272,6 +300,10 @@
     body: OutboundRequest["body"],
   ): Promise<void> {
     const { exchange, context } = admitted;
+    if (this.#isAborted) {
+      exchange.refuse(refuseNotRun("vm-stopping"));
+      return Promise.resolve();
+    }
     return new Promise((resolve) => {
       const request = buildOutboundRequest(admitted, body, this.#dialect);
       const receiver = new ExchangeReceiver(exchange, () => {
@@ -297,6 +329,7 @@
           series.expire();
         });
       }, remainingMs);
+      this.#unclaimed.set(exchange, series);
       exchange.setDisconnectListener(() => {
         series.cancel();
       });
--- a/packages/standins/src/fleet/planned_stop_test.ts
+++ b/packages/standins/src/fleet/planned_stop_test.ts
@@ -2,6 +2,7 @@
 import * as http from "node:http";
 
 import type { CallerResponse } from "../platform/caller_client.ts";
+import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { waitForLeader } from "./fleet_lookup.ts";
 import { FleetProcesses, GRACE_PERIOD_SECONDS } from "./fleet_processes.ts";
@@ -9,12 +10,18 @@
 
 const KEY = "key-of-dance";
 const STATUS_OK = 200;
+const STATUS_BAD_GATEWAY = 502;
 const STATUS_UNAVAILABLE = 503;
 const KEPT_CALLERS = 14;
 const NEW_CALLER_INTERVAL_MS = 80;
 const BEFORE_STOP_MS = 3_000;
 const MS_PER_S = 1_000;
 const WARM_UP_REQUESTS = 12;
+/** Time after the signal at which requests are taken that may last long. */
+const EARLY_IN_STOP_MS = 1_000;
+/** Slots of all servers together, and requests beyond them. */
+const SLOTS = 160;
+const WAITING = 6;
 
 interface EndedRequest {
   readonly path: string;
@@ -136,4 +143,31 @@
     const response = await sendBooking("long");
     expect(response.status === 0 && countRuns("/book/long") > 0).toBe(false);
   });
+
+  // Guards against requests that wait for a slot until the process exits, and hear
+  // nothing then.
+  it("tells what has not ended whether it was sent", async () => {
+    await sendUsual();
+    vm.sendSignal("SIGTERM");
+    await waitMs(EARLY_IN_STOP_MS);
+    for (const server of fleet.servers) {
+      server.behavior = SERVER_BEHAVIOR.hang;
+    }
+    const sent = Array.from(
+      { length: SLOTS + WAITING },
+      (_, index) => sendBooking(`hanging-${index}`),
+    );
+    const responses = await Promise.all(sent);
+    const notRun = responses.filter((_, index) =>
+      countRuns(`/book/hanging-${index}`) === 0
+    );
+    expect(notRun.length).toBeGreaterThan(0);
+    expect(notRun.filter(({ status }) => status !== STATUS_UNAVAILABLE))
+      .toEqual([]);
+    const sentToServers = responses.filter((response) =>
+      !notRun.includes(response)
+    );
+    expect(sentToServers.filter(({ status }) => status !== STATUS_BAD_GATEWAY))
+      .toEqual([]);
+  });
 });
