fix: an odd number in a server's entry no longer hides the server

Operators of such systems saw: one odd entry of another writer (nested, a number too large, a port out of range), after which machines ended or stopped following the list. Here: no process ended, but one number under a server's identifier kept that server without requests for good.

Cause: the later start, then the higher sequence number wins, and the decoder took every number: a start in the year 33658 or a sequence of 1e308 is later than all that the server will say itself.

Ruled out by the test: nesting of 60,000 levels, addresses out of range, records that are no object, odd names.

--- a/packages/platform/src/store/server_decoder.ts
+++ b/packages/platform/src/store/server_decoder.ts
@@ -14,6 +14,12 @@
 import { parseAddress } from "./address_parser.ts";
 
 const MS_PER_S = 1_000;
+/** An identifier is sent in a header. */
+const ID_PATTERN = /^[!-~]{1,255}$/;
+const MAX_SLOTS = 1_000_000;
+const MAX_WARM_UP_S = 86_400;
+/** Start of the year 2100; a later start would hide all true ones. */
+const MAX_START_MS = 4_102_444_800_000;
 
 const SERVER_STATE_BY_ANNOUNCED_STATE = {
   ready: SERVER_STATE.active,
@@ -24,11 +30,11 @@
   service: z.string().min(1),
   address: z.string(),
   zone: z.string().min(1),
-  slots: z.number().int().positive(),
+  slots: z.number().int().positive().max(MAX_SLOTS),
   state: z.enum(["ready", "draining"]),
-  warmup_remaining_s: z.number().nonnegative().default(0),
-  sequence_number: z.number(),
-  born: z.number().int().default(0),
+  warmup_remaining_s: z.number().nonnegative().max(MAX_WARM_UP_S).default(0),
+  sequence_number: z.number().int().nonnegative(),
+  born: z.number().int().nonnegative().max(MAX_START_MS).default(0),
 });
 
 /**
@@ -42,6 +48,9 @@
   key: string,
   bytes: Buffer,
 ): Result<AnnouncedServer, string> {
+  if (!ID_PATTERN.test(key)) {
+    return makeError("key is not an identifier");
+  }
   let document: unknown;
   try {
     document = JSON.parse(bytes.toString("utf8"));
--- a/packages/platform/src/store/server_decoder_test.ts
+++ b/packages/platform/src/store/server_decoder_test.ts
@@ -12,6 +12,12 @@
   born: 1_700_000_000_000,
 };
 
+// A record with one field replaced by JSON text.
+function buildText(field: string, text: string): string {
+  const document = JSON.stringify({ ...VALID, [field]: "REPLACED" });
+  return document.replace('"REPLACED"', text);
+}
+
 describe("decodeServer", () => {
   it("decodes an announcement", () => {
     expect(decodeServer("i-1", Buffer.from(JSON.stringify(VALID))))
@@ -39,8 +45,30 @@
       }),
     ],
     ["an array", "[]"],
+    // Guards against numbers that cannot be passed on or hide all later entries.
+    ["a number too large", buildText("slots", "1e999")],
+    ["too many slots", buildText("slots", "1000000000000000")],
+    ["a warm-up without end", buildText("warmup_remaining_s", "1e308")],
+    ["a sequence number too large", buildText("sequence_number", "1e308")],
+    [
+      "an inexact sequence number",
+      buildText("sequence_number", "9007199254740993"),
+    ],
+    ["a start in the far future", buildText("born", "1000000000000000")],
+    ["a start before all clocks", buildText("born", "-1")],
+    ["nesting in a field", buildText("service", "[".repeat(60_000))],
+    [
+      "nested arrays",
+      "[".repeat(60_000) + "]".repeat(60_000),
+    ],
   ];
   it.each(invalid)("rejects %s", (_name, value) => {
     expect(decodeServer("i-1", Buffer.from(value, "latin1")).ok).toBe(false);
   });
+
+  it.each(["", "i-\r\nx: y", "i-\u{1f409}"])("rejects the key %j", (key) => {
+    expect(decodeServer(key, Buffer.from(JSON.stringify(VALID))).ok).toBe(
+      false,
+    );
+  });
 });
