fix: a server's status promises "not run" only if the server has said so

Cause of what is reproduced here: a 503, 429 or 408 of a server went to the caller as it stood.

Change: such a status counts as a failed attempt; what may be repeated goes to another server, the rest gets 502, which promises nothing. Also for what another VM passes back.

--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -219,17 +219,22 @@
     { status, headers }: ResponseHead,
     isForwarded = false,
   ): ResponseClassification {
+    const isPromise = NOT_RUN_STATUSES.has(status);
     if (isForwarded) {
-      return readForwardedResponse({ status, headers });
+      const forwarded = readForwardedResponse({ status, headers });
+      return { ...forwarded, isFalsePromise: isPromise && !forwarded.isNotRun };
     }
     const { isNotRun, isSigned, notice, requestId } = parseServerResponse(
       status,
       headers,
     );
-    const isServed = status < FIRST_FAILED_STATUS && isSigned;
+    const isFalsePromise = isPromise && !isNotRun;
+    const isServed = status < FIRST_FAILED_STATUS && isSigned &&
+      !isFalsePromise;
     return {
       outcome: isNotRun ? "shed" : isServed ? "served" : "failed",
       isNotRun,
+      isFalsePromise,
       isIdentified: requestId !== undefined,
       notice,
     };
--- a/packages/entry/src/dialect/serving_dialect.ts
+++ b/packages/entry/src/dialect/serving_dialect.ts
@@ -44,6 +44,11 @@
    * request; absent if servers send none.
    */
   readonly isIdentified?: boolean;
+  /**
+   * True if the status promises the caller that the request was not run, although
+   * that is not certain.
+   */
+  readonly isFalsePromise?: boolean;
   /** True if no other attempt may follow, whatever the outcome. */
   readonly isFinal?: boolean;
   /** Delay before the caller should retry, in ms; absent without one. */
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -20,6 +20,7 @@
 import { buildBufferedReceiver } from "./buffering_receiver.ts";
 import {
   buildRefusal,
+  findUnusedCause,
   mapFailure,
   mergeCauses,
   type RefusalCause,
@@ -157,12 +158,11 @@
     }
     const { isForwarded } = running.placement;
     const classified = this.#dialect.readResponse(head, isForwarded);
-    const { isNotRun, isFinal, retryAfterMs } = classified;
+    const { isNotRun, isFinal } = classified;
     recordHead(running, head.status, classified);
     if (!isNotRun) {
       this.#mayHaveRun = true;
-    }
-    if (isNotRun && isForwarded === true) {
+    } else if (isForwarded === true) {
       this.#attempts.recordUnsent();
     }
     if (running.outcome !== "served" && isFinal !== true) {
@@ -173,9 +173,10 @@
         return;
       }
     }
-    if (isNotRun) {
+    const unusedCause = findUnusedCause(classified);
+    if (unusedCause !== undefined) {
       running.isDiscarded = true;
-      this.#refuse({ kind: "overloaded", retryAfterMs });
+      this.#refuse(unusedCause);
       return;
     }
     this.#winner = attempt;
--- a/packages/entry/src/serving/failure_refusals.ts
+++ b/packages/entry/src/serving/failure_refusals.ts
@@ -2,6 +2,7 @@
 
 import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
 
+import type { ResponseClassification } from "../dialect/serving_dialect.ts";
 import type { AttemptFailure } from "./attempt_listener.ts";
 import { type Refusal, type RefusalKind, refuseNotRun } from "./refusal.ts";
 
@@ -37,6 +38,21 @@
   }
 }
 
+/**
+ * Finds the reason why a response is not passed on to the caller.
+ *
+ * @param classified - meaning of its head
+ * @returns the reason; undefined for a response that is passed on
+ */
+export function findUnusedCause(
+  { isNotRun, isFalsePromise, retryAfterMs }: ResponseClassification,
+): RefusalCause | undefined {
+  if (isNotRun) {
+    return { kind: "overloaded", retryAfterMs };
+  }
+  return isFalsePromise === true ? { kind: "answer-malformed" } : undefined;
+}
+
 /**
  * Merges the reason why the last attempt gave no response with the reason why
  * there is no further attempt.
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -22,6 +22,8 @@
   fail: "fail",
   /** Sheds load: answers 503 and states that the request was not run. */
   shed: "shed",
+  /** Runs the request and answers 503, without a statement that it was not run. */
+  failAsShed: "fail-as-shed",
   /** Runs the request and never answers. */
   hang: "hang",
   /** Runs the request and resets the connection. */
@@ -60,6 +62,8 @@
   joined: "joined",
   /** Without the identifier of any request. */
   anonymous: "anonymous",
+  /** The refusal has the identifier of its request, the copy has none. */
+  stripped: "stripped",
 } as const;
 /** One of the forms in `REPEATED_REFUSAL`. */
 export type RepeatedRefusal =
@@ -252,7 +256,11 @@
     };
     this.received.push(received);
     if (isMisdirected) {
-      response.writeHead(STATUS_MISDIRECTED, { "instance-id": this.id });
+      response.writeHead(STATUS_MISDIRECTED, {
+        "instance-id": this.id,
+        "not-executed": "1",
+        "request-id": String(request.headers["request-id"]),
+      });
       response.end();
       return;
     }
@@ -280,9 +288,9 @@
     if (id === undefined || this.repeatedRefusal === REPEATED_REFUSAL.none) {
       return;
     }
-    const idLine = this.repeatedRefusal === REPEATED_REFUSAL.anonymous
-      ? ""
-      : `request-id: ${id}\r\n`;
+    const hasId = this.repeatedRefusal === REPEATED_REFUSAL.identified ||
+      this.repeatedRefusal === REPEATED_REFUSAL.joined;
+    const idLine = hasId ? `request-id: ${id}\r\n` : "";
     if (this.repeatedRefusal === REPEATED_REFUSAL.joined) {
       socket.cork();
     }
@@ -320,6 +328,10 @@
         response.writeHead(STATUS_ERROR, head);
         response.end("failed");
         break;
+      case "fail-as-shed":
+        response.writeHead(STATUS_UNAVAILABLE, head);
+        response.end("failed");
+        break;
       case "shed":
         this.#refusedIds.set(request.socket, head["request-id"]);
         response.writeHead(STATUS_UNAVAILABLE, {
