fix: a copied refusal without an identifier is not believed

Callers saw: a request that may not be repeated was refused as not run while its server ran it.

Cause: a response without an identifier counted as the answer to the request that waits, also on a connection whose other answers all had one. A server's second refusal that had lost its identifier was believed.

Change: where servers name each request (the platform's dialect), a response that names none on a used connection belongs to nobody: the attempt fails, the connection is closed, 502 for what may not be repeated.

Red before: repeated_refusal_test "is not taken for the answer to another request: stripped", attempt_message_test.

--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -207,6 +207,7 @@
       identity: {
         id,
         readId: readRequestId,
+        isAlwaysNamed: details.forwarding === undefined,
       },
       mayEndWithConnection: true,
       isProven: ({ status, headers }) =>
--- a/packages/entry/src/serving/attempt_message.ts
+++ b/packages/entry/src/serving/attempt_message.ts
@@ -26,6 +26,11 @@
   readonly id: string;
   /** Reads the identifier of a response; undefined if it bears none. */
   readonly readId: (headers: ResponseHead["headers"]) => string | undefined;
+  /**
+   * True if each response names its request. One that names none may then belong
+   * to any of the requests that its connection has carried.
+   */
+  readonly isAlwaysNamed: boolean;
 }
 
 /** What a response that arrives for an attempt answers. */
@@ -46,15 +51,21 @@
  * @param headers - headers of the response
  * @param answeredIds - identifiers of requests that were answered before on the
  * same connection, the oldest first
- * @returns the attempt unless the response bears another identifier
+ * @returns the attempt unless the response bears another identifier, or none on a
+ * connection that has brought others
  */
 export function findResponseOwner(
-  { id, readId }: ResponseIdentity,
+  { id, readId, isAlwaysNamed }: ResponseIdentity,
   headers: ResponseHead["headers"],
   answeredIds: readonly string[],
 ): ResponseOwner {
   const responseId = readId(headers);
-  if (responseId === undefined || responseId === id) {
+  if (responseId === undefined) {
+    return isAlwaysNamed && answeredIds.length > 0
+      ? RESPONSE_OWNER.other
+      : RESPONSE_OWNER.attempt;
+  }
+  if (responseId === id) {
     return RESPONSE_OWNER.attempt;
   }
   return answeredIds.includes(responseId)
--- a/packages/entry/src/serving/attempt_message_test.ts
+++ b/packages/entry/src/serving/attempt_message_test.ts
@@ -5,6 +5,7 @@
     id: "own",
     readId: (headers: Readonly<Record<string, unknown>>): string | undefined =>
       headers["id"]?.toString(),
+    isAlwaysNamed: false,
   };
   it.each([
     { name: "its identifier", id: "own", owner: RESPONSE_OWNER.attempt },
@@ -17,4 +18,15 @@
       owner,
     );
   });
+
+  // Guards against a copy of an earlier refusal whose identifier is gone.
+  it.each([
+    { answered: [], owner: RESPONSE_OWNER.attempt },
+    { answered: ["first"], owner: RESPONSE_OWNER.other },
+  ])("tells whose response bears none where all do: $owner", (testCase) => {
+    const named = { ...identity, isAlwaysNamed: true };
+    expect(findResponseOwner(named, {}, testCase.answered)).toBe(
+      testCase.owner,
+    );
+  });
 });
--- a/packages/entry/src/serving/attempt_request.ts
+++ b/packages/entry/src/serving/attempt_request.ts
@@ -46,6 +46,7 @@
     identity: {
       id: attemptId,
       readId: readAttemptId,
+      isAlwaysNamed: false,
     },
     mayEndWithConnection: false,
     isProven: () => true,
--- a/packages/entry/src/serving/backend_attempt_test.ts
+++ b/packages/entry/src/serving/backend_attempt_test.ts
@@ -77,6 +77,7 @@
         identity: {
           id: String(index),
           readId: ({ id }) => id?.toString(),
+          isAlwaysNamed: false,
         },
         isProven: () => true,
         mayEndWithConnection: true,
--- a/packages/entry/src/serving/peer_forwarder.ts
+++ b/packages/entry/src/serving/peer_forwarder.ts
@@ -93,7 +93,7 @@
         headers: this.#buildHeaders(),
         body,
         // The other VM has taken the identifiers of attempts off.
-        identity: { id: "", readId: readAttemptId },
+        identity: { id: "", readId: readAttemptId, isAlwaysNamed: false },
         mayEndWithConnection: false,
         isProven: () => true,
         mayDispatch: undefined,
--- a/packages/standins/src/fleet/repeated_refusal_test.ts
+++ b/packages/standins/src/fleet/repeated_refusal_test.ts
@@ -79,7 +79,7 @@
     return ended;
   }
 
-  it.each(REPEATED)(
+  it.each([...REPEATED, REPEATED_REFUSAL.stripped])(
     "is not taken for the answer to another request: %s",
     async (form) => {
       const ended = await sendThroughRefusals(form);
