fix: a target that is no URL no longer ends a VM

Seen by the review: one GET // at the directory or ready address ends the process, and with it all that is in flight.

Cause: new URL throws on such targets, in a request handler that nothing guards. Change: the path is compared as text, the query goes through URLSearchParams, which takes anything.

Red before: directory_call_test, 4 of 9 targets threw ("//", "http://", "/\\", "//["). After: all pass.

--- a/packages/platform/src/store/directory_call.ts
+++ b/packages/platform/src/store/directory_call.ts
@@ -33,14 +33,18 @@
 export function parseDirectoryQuery(
   target: string,
 ): DirectoryQuery | undefined {
-  const url = new URL(target, "http://directory.invalid");
-  if (url.pathname !== VM_PATH.directory) {
+  const queryStart = target.indexOf("?");
+  const path = queryStart < 0 ? target : target.slice(0, queryStart);
+  if (path !== VM_PATH.directory) {
     return undefined;
   }
+  const query = new URLSearchParams(
+    queryStart < 0 ? "" : target.slice(queryStart),
+  );
   return {
-    host: url.searchParams.get("name") ?? "",
-    region: url.searchParams.get("region") ?? "",
-    zone: url.searchParams.get("zone") ?? "",
+    host: query.get("name") ?? "",
+    region: query.get("region") ?? "",
+    zone: query.get("zone") ?? "",
   };
 }
 
