fix: a second SIGTERM no longer cuts what is in flight

Cause: the handler was registered with process.once, so that the second signal met Node's default. The function stood twice and is one module now.

Red before: planned_stop_test "cuts no booking if another signal follows" (status 0). After: passes.

--- a/packages/entry/src/command/fleet_command.ts
+++ b/packages/entry/src/command/fleet_command.ts
@@ -15,6 +15,7 @@
 import { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import { SystemClock } from "../vm/system_clock.ts";
 import { EXIT_CODE } from "./exit_code.ts";
+import { waitStopSignal } from "./stop_signal.ts";
 
 /** Share of the grace period after which the process exits in any case. */
 const FORCED_EXIT_SHARE = 0.95;
@@ -103,13 +104,3 @@
   const loaded = await loadFleetSettings(file, Date.now());
   log.record("settings-reloaded", { isValid: loaded.ok });
 }
-
-function waitStopSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    for (const signal of ["SIGTERM", "SIGINT"] as const) {
-      process.once(signal, () => {
-        resolve();
-      });
-    }
-  });
-}
--- a/packages/entry/src/command/vm_process.ts
+++ b/packages/entry/src/command/vm_process.ts
@@ -20,6 +20,7 @@
 import { StatsdMetrics } from "../telemetry/statsd_metrics.ts";
 import { EntryVm } from "../vm/entry_vm.ts";
 import { SystemClock } from "../vm/system_clock.ts";
+import { waitStopSignal } from "./stop_signal.ts";
 
 const SEED_RANGE = 0x7fff_ffff;
 
@@ -130,17 +131,6 @@
   }
 }
 
-function waitStopSignal(): Promise<void> {
-  return new Promise((resolve) => {
-    process.once("SIGTERM", () => {
-      resolve();
-    });
-    process.once("SIGINT", () => {
-      resolve();
-    });
-  });
-}
-
 async function isCompletedWithin(
   work: Promise<void>,
   timeoutMs: number,
--- a/packages/standins/src/fleet/planned_stop_test.ts
+++ b/packages/standins/src/fleet/planned_stop_test.ts
@@ -144,6 +144,20 @@
     expect(response.status === 0 && countRuns("/book/long") > 0).toBe(false);
   });
 
+  // Guards against a second signal that ends the process at once.
+  it("cuts no booking if another signal follows", async () => {
+    for (const server of fleet.servers) {
+      server.processingMs = MS_PER_S;
+    }
+    const booking = sendBooking("in-flight");
+    await waitMs(MS_PER_S / 4);
+    for (const signal of ["SIGTERM", "SIGTERM", "SIGINT"] as const) {
+      vm.sendSignal(signal);
+      await waitMs(50);
+    }
+    expect((await booking).status).toBe(STATUS_OK);
+  });
+
   // Guards against requests that wait for a slot until the process exits, and hear
   // nothing then.
   it("tells what has not ended whether it was sent", async () => {
