--- a/packages/standins/src/platform/odd_announcements.ts
+++ b/packages/standins/src/platform/odd_announcements.ts
@@ -22,10 +22,12 @@
 
 // A record with one field replaced by JSON text, which may be no valid value.
 function buildOdd(field: string, text: string): string {
-  const fields = Object.entries(SOUND_ANNOUNCEMENT).filter(([name]) =>
+  const others = Object.entries(SOUND_ANNOUNCEMENT).filter(([name]) =>
     name !== field
-  )
-    .map(([name, value]) => `"${name}":${JSON.stringify(value)}`);
+  );
+  const fields = others.map(([name, value]) =>
+    `"${name}":${JSON.stringify(value)}`
+  );
   return `{${[...fields, `"${field}":${text}`].join(",")}}`;
 }
 
