--- a/packages/core/src/evidence/attempt_sample.ts
+++ b/packages/core/src/evidence/attempt_sample.ts
@@ -33,4 +33,6 @@
   readonly wasConnectionReused: boolean;
   /** Size of the response. */
   readonly answerBytes: number;
+  /** True if the response had no length and ended with its connection. */
+  readonly endsWithConnection?: boolean;
 }
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -210,6 +210,17 @@
       totalMs: "number",
     },
   },
+  "response-unsized": {
+    level: "info",
+    meaning:
+      "a server's response had no length and ended with its connection; `bytes` is the size of the body that was read",
+    fields: {
+      request: "text",
+      server: "text",
+      outcome: "text",
+      bytes: "number",
+    },
+  },
   "servers-suspected": {
     level: "info",
     meaning:
--- a/packages/entry/src/fleet/placement_log.ts
+++ b/packages/entry/src/fleet/placement_log.ts
@@ -113,11 +113,18 @@
     slot: TakenSlot,
     sample: AttemptSample,
   ): void {
-    this.#options.log.record("attempt-ended", {
+    const { log } = this.#options;
+    const line = {
       request: request.context.id,
       server: slot.server.announced.id,
       outcome: sample.outcome,
+    };
+    log.record("attempt-ended", {
+      ...line,
       totalMs: Math.round(sample.totalMs),
     });
+    if (sample.endsWithConnection === true) {
+      log.record("response-unsized", { ...line, bytes: sample.answerBytes });
+    }
   }
 }
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -156,6 +156,7 @@
       totalMs: this.#clock.readMonotonicMs() - this.#startedAtMs,
       wasConnectionReused: this.#wasConnectionReused,
       answerBytes: this.#responseBytes,
+      endsWithConnection: !this.#isSelfDelimited,
     };
   }
 
@@ -277,18 +278,11 @@
 
   /** Called by the HTTP client for a broken connection or invalid response. */
   handleError(): void {
-    if (this.#hasEnded) {
-      return;
-    }
-    if (this.#hasHead) {
-      this.#reportFailure({ outcome: "cut", isMalformed: false });
-    } else if (this.#sentAtMs === undefined) {
-      this.#reportFailure({ outcome: "connect-failed", isMalformed: false });
-    } else {
-      this.#reportFailure({
-        outcome: "reset-before-first-byte",
-        isMalformed: false,
-      });
+    if (!this.#hasEnded) {
+      const outcome = this.#sentAtMs === undefined
+        ? "connect-failed"
+        : this.#findBreak();
+      this.#reportFailure({ outcome, isMalformed: false });
     }
   }
 
@@ -298,13 +292,14 @@
     const read = this.#connection.bytesRead - this.#bytesReadBefore;
     const bodyBytes = this.#responseBytes + this.#skippedBytes;
     if (read > computeMaxResponseBytes(bodyBytes)) {
-      this.#reportFailure({
-        outcome: this.#hasHead ? "cut" : "reset-before-first-byte",
-        isMalformed: true,
-      });
+      this.#reportFailure({ outcome: this.#findBreak(), isMalformed: true });
     }
   }
 
+  #findBreak(): "cut" | "reset-before-first-byte" {
+    return this.#hasHead ? "cut" : "reset-before-first-byte";
+  }
+
   // The last chunk is held back until the next iteration of the event loop. By
   // then the parser has rejected bytes that follow the end of the response in
   // the same packet, which make the response invalid.
