--- a/packages/standins/src/fleet/broken_head_test.ts
+++ b/packages/standins/src/fleet/broken_head_test.ts
@@ -2,10 +2,8 @@
 
 import type { CallerResponse } from "../platform/caller_client.ts";
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
-import type {
-  RawResponse,
-  ReceivedRequest,
-} from "../platform/server_standin.ts";
+import type { RawResponse } from "../platform/raw_response.ts";
+import type { ReceivedRequest } from "../platform/server_standin.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
--- /dev/null
+++ b/packages/standins/src/fleet/cut_response_test.ts
@@ -0,0 +1,206 @@
+import { execFileSync } from "node:child_process";
+import * as http from "node:http";
+import * as net from "node:net";
+
+import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
+import type { RawResponse } from "../platform/raw_response.ts";
+import { waitMs } from "../process_soak/wait_ms.ts";
+import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
+import {
+  BUNDLE_DIRECTORY,
+  SERVER_LINK_FAULT,
+  type VmProcessHandle,
+} from "./vm_process_handle.ts";
+
+const KEY = "key-of-dance";
+const STATUS_OK = 200;
+const STATUS_BAD_GATEWAY = 502;
+const CALLERS = 10;
+const LONG_BODY = "x".repeat(300_000);
+const LONGEST_BODY = "x".repeat(5_400_000);
+const SHORT_BODY = "x".repeat(9_000);
+const STALL_MS = 800;
+const DETECTION_MS = 1_500;
+
+/** What a caller has received when its connection ends. */
+interface ReceivedResponse {
+  readonly status: number;
+  readonly bytes: number;
+  /** True if the message is complete by its own framing. */
+  readonly isComplete: boolean;
+}
+
+const NO_RESPONSE: ReceivedResponse = {
+  status: 0,
+  bytes: 0,
+  isComplete: false,
+};
+
+interface CallerOptions {
+  /** Time for which the caller reads nothing after the head. */
+  readonly stallMs?: number;
+  /** Called with the head of the response. */
+  readonly handleHead?: () => void;
+}
+
+function fetchFrom(
+  vm: VmProcessHandle,
+  path: string,
+  { stallMs = 0, handleHead }: CallerOptions = {},
+): Promise<ReceivedResponse> {
+  return new Promise((resolve) => {
+    const request = http.get({
+      host: vm.host,
+      port: CALLER_PORT,
+      path,
+      agent: false,
+      headers: {
+        host: "bands.example",
+        [PROTOCOL_HEADER.callerKey]: KEY,
+        [PROTOCOL_HEADER.requestId]: path,
+        [PROTOCOL_HEADER.timeLeftMs]: 3_000,
+      },
+    }, (response) => {
+      let bytes = 0;
+      handleHead?.();
+      setTimeout(() => {
+        response.on("data", (chunk: Buffer) => bytes += chunk.length);
+      }, stallMs);
+      response.on("error", () => undefined);
+      response.on("close", () => {
+        const { statusCode: status = 0, complete: isComplete } = response;
+        resolve({ status, bytes, isComplete });
+      });
+    });
+    request.on("error", () => {
+      resolve(NO_RESPONSE);
+    });
+  });
+}
+
+// An HTTP/1.0 caller knows a length or the end of the connection, and no chunks.
+function fetchByHttp10(vm: VmProcessHandle, path: string): Promise<string> {
+  return new Promise((resolve) => {
+    let text = "";
+    const socket = net.connect({ host: vm.host, port: CALLER_PORT }, () => {
+      socket.write(
+        `GET ${path} HTTP/1.0\r\nhost: bands.example\r\n` +
+          `${PROTOCOL_HEADER.callerKey}: ${KEY}\r\n` +
+          `${PROTOCOL_HEADER.requestId}: ${path}\r\n\r\n`,
+      );
+    });
+    socket.on("data", (chunk) => text += chunk.toString("latin1"));
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+      resolve(text);
+    });
+  });
+}
+
+// Guards against a part of a response that a caller takes for the whole, since its
+// end was the end of the connection.
+describe("a response without a length", () => {
+  let fleet: FleetProcesses;
+  let vm: VmProcessHandle;
+  beforeAll(() => {
+    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+  });
+  beforeEach(async () => {
+    fleet = new FleetProcesses();
+    await fleet.start({ servers: 3, zones: [1, 1] });
+    const [first] = fleet.vms;
+    if (first === undefined) {
+      throw new Error("the fleet has no VM");
+    }
+    vm = first;
+  });
+  afterEach(async () => {
+    await fleet.stop();
+  });
+
+  function setResponse(body: string, end: RawResponse["end"]): void {
+    for (const server of fleet.servers) {
+      server.chooseRawResponse = ({ headers }): RawResponse => {
+        const id = String(headers[PROTOCOL_HEADER.requestId]);
+        return {
+          bytes: `HTTP/1.1 200 OK\r\n${PROTOCOL_HEADER.requestId}: ${id}\r\n` +
+            `${PROTOCOL_HEADER.signature}: s\r\n\r\n${body}`,
+          end,
+        };
+      };
+    }
+  }
+
+  // Sends a few requests and calls `onHeads` when all responses have begun.
+  async function fetchAll(
+    from: VmProcessHandle,
+    options: CallerOptions = {},
+  ): Promise<readonly ReceivedResponse[]> {
+    return await Promise.all(
+      Array.from(
+        { length: CALLERS },
+        (_, index) => fetchFrom(from, `/read/${index}`, options),
+      ),
+    );
+  }
+
+  async function fetchAndKill(
+    from: VmProcessHandle,
+    killed: VmProcessHandle,
+  ): Promise<readonly ReceivedResponse[]> {
+    let heads = 0;
+    const fetched = fetchAll(from, { handleHead: () => heads += 1 });
+    await fleet.waitUntil(() => heads === CALLERS);
+    await waitMs(100);
+    killed.sendSignal("SIGKILL");
+    return await fetched;
+  }
+
+  function expectCut(responses: readonly ReceivedResponse[]): void {
+    expect(responses.filter(({ isComplete }) => isComplete)).toEqual([]);
+  }
+
+  it("arrives whole", async () => {
+    setResponse(LONG_BODY, "close");
+    const responses = await fetchAll(vm);
+    expect(responses).toEqual(responses.map(() => ({
+      status: STATUS_OK,
+      bytes: LONG_BODY.length,
+      isComplete: true,
+    })));
+  });
+
+  it("does not look whole if the VM is killed midway", async () => {
+    setResponse(LONG_BODY, "none");
+    expectCut(await fetchAndKill(vm, vm));
+  });
+
+  it("does not look whole if the VM that it was forwarded to is killed midway", async () => {
+    fleet.setServerLinkFault([vm], SERVER_LINK_FAULT.refused);
+    await fetchAll(vm);
+    await waitMs(DETECTION_MS);
+    const [, other] = fleet.vms;
+    if (other === undefined) {
+      throw new Error("the fleet has no other VM");
+    }
+    setResponse(LONG_BODY, "none");
+    expectCut(await fetchAndKill(vm, other));
+  });
+
+  it("does not look whole to a slow caller if the server resets it", async () => {
+    setResponse(LONGEST_BODY, "reset");
+    expectCut(await fetchAll(vm, { stallMs: STALL_MS }));
+  });
+
+  it("has a length for an HTTP/1.0 caller, or is refused", async () => {
+    setResponse(SHORT_BODY, "close");
+    const short = await fetchByHttp10(vm, "/read/short");
+    expect(short).toMatch(/^HTTP\/1.1 200 OK\r\n/);
+    expect(short.toLowerCase()).toContain(
+      `\r\ncontent-length: ${SHORT_BODY.length}\r\n`,
+    );
+    setResponse(LONG_BODY, "close");
+    const long = await fetchByHttp10(vm, "/read/long");
+    expect(long).toMatch(new RegExp(`^HTTP/1.1 ${STATUS_BAD_GATEWAY} `));
+  });
+});
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -8,6 +8,7 @@
 import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 
 import { PROTOCOL_HEADER } from "./protocol_names.ts";
+import { type RawResponse, writeRawResponse } from "./raw_response.ts";
 
 const STATUS_OK = 200;
 const STATUS_MISDIRECTED = 421;
@@ -69,13 +70,6 @@
 export type RepeatedRefusal =
   typeof REPEATED_REFUSAL[keyof typeof REPEATED_REFUSAL];
 
-/** Bytes that the stand-in writes in place of a response. */
-export interface RawResponse {
-  readonly bytes: string;
-  /** How the connection ends after them; `reset` also drops unread bytes. */
-  readonly end: "close" | "reset";
-}
-
 /** Requests that crash the server, and how long a crash lasts. */
 export interface CrashBehavior {
   /** Checks whether a request that begins to run crashes the server. */
@@ -272,7 +266,7 @@
     }
     const raw = this.chooseRawResponse?.(received);
     if (raw !== undefined) {
-      writeRaw(request.socket, raw);
+      writeRawResponse(request.socket, raw);
       return;
     }
     if (received.hasRun) {
@@ -384,13 +378,3 @@
     }
   }
 }
-
-function writeRaw(socket: Socket, { bytes, end }: RawResponse): void {
-  socket.write(bytes, () => {
-    if (end === "close") {
-      socket.end();
-    } else {
-      resetSocket(socket);
-    }
-  });
-}
