fix: a response that is cut never looks whole to its caller

Cause: a response that came without a length left the VM without one, so whether a cut showed rested on the VM living long enough to send a reset before any FIN. The kernel sends a FIN for a process that ends; resetAndDestroy sends one first as well; a reset with bytes still to be sent reaches a slow caller as an orderly end. The class: an end of a message that is only the end of its connection.

Change: what is held whole goes out with its length, the rest in chunks, whatever the server's framing was; the same between VMs, where a response without a length is no longer believed. PeerForwarder uses the same receiver.

--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -209,7 +209,8 @@
         readId: readRequestId,
         isAlwaysNamed: details.forwarding === undefined,
       },
-      mayEndWithConnection: true,
+      // Another VM frames all that it sends.
+      mayEndWithConnection: details.forwarding === undefined,
       isProven: ({ status, headers }) =>
         parseServerResponse(status, headers).isSigned,
       mayDispatch,
--- a/packages/entry/src/serving/buffering_receiver.ts
+++ b/packages/entry/src/serving/buffering_receiver.ts
@@ -55,9 +55,8 @@
       this.#chunks.push(last);
       this.#bufferedBytes += last.length;
     }
-    this.#receiver.receiveHead(this.#head);
-    const body = this.#takeBuffer();
-    this.#receiver.receiveEnd(body.length === 0 ? undefined : body);
+    const head = this.#head;
+    this.#receiver.receiveWhole(head, this.#takeBuffer());
   }
 
   override receiveCut(): void {
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -14,6 +14,7 @@
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import type { ReplayableResponse } from "../ports/idempotency_ledger.ts";
 import type { Refusal } from "./refusal.ts";
+import { hasBody } from "./response_framing.ts";
 import { ResponseWriter } from "./response_writer.ts";
 
 /** Context in which an exchange is created. */
@@ -133,39 +134,51 @@
    */
   sendDocument(status: number, document: unknown): void {
     const body = Buffer.from(JSON.stringify(document));
-    this.beginResponse(status, [
+    this.sendWhole(status, [
       "content-type",
       "application/json",
-      "content-length",
-      String(body.length),
       "cache-control",
       "no-store",
-    ]);
-    this.response.end(body);
+    ], body);
   }
 
   /**
-   * Sends status and headers.
+   * Sends status and headers. Without a length the body follows in chunks, whatever
+   * the framing of the server's response was: if the connection or this process ends
+   * before the last chunk, the caller knows that the response was cut.
    *
    * @param status - HTTP status
    * @param headers - alternating names and values; the array is modified
-   * @param isFramed - false for a response that ends with its connection. It
-   * may have been truncated, so it is sent without a length or chunked encoding
    */
-  beginResponse(status: number, headers: string[], isFramed = true): void {
+  beginResponse(status: number, headers: string[]): void {
     headers.push(...this.#options.dialect.listResponseHeaders(this.id));
     if (this.forwarding !== undefined) {
       headers.push(FORWARDED_HEADER, FORWARDED_RESULT.answered);
     }
-    if (!isFramed) {
-      this.response.useChunkedEncodingByDefault = false;
-    }
-    if (!isFramed || this.#options.isStopping() || !this.request.complete) {
+    if (this.#options.isStopping() || !this.request.complete) {
       headers.push("connection", "close");
     }
     this.writer.writeHeaders(status, headers);
   }
 
+  /**
+   * Sends a response whose whole body is known, with its length.
+   *
+   * @param status - HTTP status
+   * @param headers - alternating names and values; the array is modified
+   * @param body - the whole body
+   */
+  sendWhole(status: number, headers: string[], body: Uint8Array): void {
+    const isSized = headers.some((value, index) =>
+      index % 2 === 0 && value === "content-length"
+    );
+    if (!isSized && hasBody(this.request.method, status)) {
+      headers.push("content-length", String(body.length));
+    }
+    this.beginResponse(status, headers);
+    this.writer.complete(body.length === 0 ? undefined : body);
+  }
+
   /**
    * Replays a stored response.
    *
@@ -177,8 +190,7 @@
     }
     const headers = stored.headers.flatMap(([name, value]) => [name, value]);
     headers.push(HEADER.replayed, "true");
-    this.beginResponse(stored.status, headers);
-    this.response.end(stored.body);
+    this.sendWhole(stored.status, headers, stored.body);
   }
 
   /** Called when the caller has ended its connection, before it is closed. */
--- a/packages/entry/src/serving/claimed_request_handler.ts
+++ b/packages/entry/src/serving/claimed_request_handler.ts
@@ -154,8 +154,10 @@
     const settler = new ClaimSettler(this.#ports.ledger, claim);
     return new Promise((resolve) => {
       let hasEnded = false;
-      const caller = new ExchangeReceiver(exchange, () => {
-        admitted.record.status = caller.status;
+      const caller = new ExchangeReceiver(exchange, {
+        complete: () => {
+          admitted.record.status = caller.status;
+        },
       });
       const receiver = new ClaimedRequestReceiver({
         caller,
--- a/packages/entry/src/serving/peer_forwarder.ts
+++ b/packages/entry/src/serving/peer_forwarder.ts
@@ -14,6 +14,7 @@
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { PresentedKey } from "./caller_key.ts";
+import { ExchangeReceiver } from "./exchange_receiver.ts";
 import { refuseNotRun, refuseUnknown } from "./refusal.ts";
 import type { OutboundRequest } from "./response_receiver.ts";
 import type { ServingPorts } from "./serving_ports.ts";
@@ -34,13 +35,12 @@
  * claims and placement.
  */
 export class PeerForwarder extends AttemptListener {
-  readonly #exchange: CallerExchange;
   readonly #request: OutboundRequest;
   readonly #options: PeerForwarderOptions;
+  readonly #receiver: ExchangeReceiver;
   #attempt: BackendAttempt | undefined;
   #span: HopSpan | undefined;
   #hasHead = false;
-  #status: number | undefined;
 
   /**
    * Prepares to forward a request; nothing is sent before {@link start}.
@@ -55,9 +55,14 @@
     options: PeerForwarderOptions,
   ) {
     super();
-    this.#exchange = exchange;
     this.#request = request;
     this.#options = options;
+    this.#receiver = new ExchangeReceiver(exchange, {
+      complete: () => {
+        this.#complete();
+      },
+      selectHeaders: selectPeerHeaders,
+    });
   }
 
   /**
@@ -66,7 +71,7 @@
    * @returns undefined until the headers have been received
    */
   get status(): number | undefined {
-    return this.#status;
+    return this.#receiver.status;
   }
 
   /**
@@ -116,51 +121,36 @@
 
   override receiveHead(_attempt: BackendAttempt, head: ResponseHead): void {
     this.#hasHead = true;
-    this.#status = head.status;
-    if (!this.#exchange.isCallerDisconnected) {
-      this.#exchange.beginResponse(head.status, selectPeerHeaders(head));
-    }
+    this.#receiver.receiveHead(head);
   }
 
   override receiveChunk(_attempt: BackendAttempt, chunk: Buffer): boolean {
-    return this.#exchange.isCallerDisconnected ||
-      this.#exchange.writer.write(chunk);
+    return this.#receiver.receiveChunk(chunk);
   }
 
   override receiveEnd(
     _attempt: BackendAttempt,
     last: Buffer | undefined,
   ): void {
-    if (!this.#exchange.isCallerDisconnected) {
-      this.#exchange.writer.complete(last);
-    }
-    this.#complete();
+    this.#receiver.receiveEnd(last);
   }
 
   override receiveFailure(
     _attempt: BackendAttempt,
-    failure: AttemptFailure,
+    { outcome, mayHaveRun }: AttemptFailure,
   ): void {
     if (this.#hasHead) {
-      this.#exchange.writer.abort();
-    } else if (failure.outcome === "timed-out") {
-      this.#exchange.refuse(
-        failure.mayHaveRun
-          ? refuseUnknown("deadline-passed")
-          : refuseNotRun("deadline-passed"),
-      );
-    } else {
-      this.#exchange.refuse(
-        failure.mayHaveRun
-          ? refuseUnknown("peer-failed")
-          : refuseNotRun("peer-failed"),
-      );
+      this.#receiver.receiveCut();
+      return;
     }
-    this.#complete();
+    const kind = outcome === "timed-out" ? "deadline-passed" : "peer-failed";
+    this.#receiver.receiveRefusal(
+      mayHaveRun ? refuseUnknown(kind) : refuseNotRun(kind),
+    );
   }
 
   #complete(): void {
-    this.#span?.close(this.#status);
+    this.#span?.close(this.status);
     this.#options.complete();
   }
 
@@ -188,9 +178,9 @@
   }
 }
 
-function selectPeerHeaders(head: ResponseHead): string[] {
+function selectPeerHeaders(headers: ResponseHead["headers"]): string[] {
   const selected: string[] = [];
-  for (const [name, value] of Object.entries(head.headers)) {
+  for (const [name, value] of Object.entries(headers)) {
     if (isHopByHop(name) || name === HEADER.requestId || value === undefined) {
       continue;
     }
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -306,10 +306,12 @@
     }
     return new Promise((resolve) => {
       const request = buildOutboundRequest(admitted, body, this.#dialect);
-      const receiver = new ExchangeReceiver(exchange, () => {
-        clearTimeout(timer);
-        admitted.record.status = receiver.status;
-        resolve();
+      const receiver = new ExchangeReceiver(exchange, {
+        complete: () => {
+          clearTimeout(timer);
+          admitted.record.status = receiver.status;
+          resolve();
+        },
       });
       const series = new AttemptSeries(
         {
--- a/packages/entry/src/serving/response_framing.ts
+++ b/packages/entry/src/serving/response_framing.ts
@@ -9,6 +9,13 @@
 const MAX_FRAMING_BYTES_PER_BODY_BYTE = 16;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
+const HTTP_1_0 = "1.0";
+
+/** What the framing of a response to a caller depends on. */
+export interface CallerProtocol {
+  readonly method?: string | undefined;
+  readonly httpVersion: string;
+}
 
 /**
  * Checks that a response has a `Content-Length` or is chunked, or can have no
@@ -25,10 +32,7 @@
   status: number,
   headers: Readonly<Record<string, string | string[] | undefined>>,
 ): boolean {
-  if (
-    method === "HEAD" || status === STATUS_NO_CONTENT ||
-    status === STATUS_NOT_MODIFIED
-  ) {
+  if (!hasBody(method, status)) {
     return true;
   }
   const length = headers["content-length"];
@@ -40,6 +44,36 @@
     encoding.trim().toLowerCase() === "chunked";
 }
 
+/**
+ * Checks whether a caller can tell a truncated response from a whole one. A caller
+ * of HTTP/1.0 knows no chunks, so a response that it gets needs a length.
+ *
+ * @param request - method and HTTP version of the caller
+ * @param status - HTTP status of the response
+ * @param headerNames - names of the response's headers, in lower case
+ * @returns false if the response would end with its connection
+ */
+export function isTruncationDetectable(
+  { method, httpVersion }: CallerProtocol,
+  status: number,
+  headerNames: readonly string[],
+): boolean {
+  return httpVersion !== HTTP_1_0 || !hasBody(method, status) ||
+    headerNames.includes("content-length");
+}
+
+/**
+ * Checks whether a response has a body, which may be empty.
+ *
+ * @param method - HTTP method of the request
+ * @param status - HTTP status of the response
+ * @returns false if the message ends with its head, whatever its headers say
+ */
+export function hasBody(method: string | undefined, status: number): boolean {
+  return method !== "HEAD" && status !== STATUS_NO_CONTENT &&
+    status !== STATUS_NOT_MODIFIED;
+}
+
 /**
  * Computes how many bytes a response may have so far.
  *
--- a/packages/entry/src/serving/response_receiver.ts
+++ b/packages/entry/src/serving/response_receiver.ts
@@ -26,6 +26,16 @@
   abstract receiveChunk(chunk: Buffer): boolean;
   /** Receives the last chunk, if any, and the end of a complete response. */
   abstract receiveEnd(last: Buffer | undefined): void;
+  /**
+   * Receives a complete response at once, in place of head and end.
+   *
+   * @param head - status and headers
+   * @param body - the whole body, which may be empty
+   */
+  receiveWhole(head: ResponseHead, body: Buffer): void {
+    this.receiveHead(head);
+    this.receiveEnd(body.length === 0 ? undefined : body);
+  }
   /** Called if the response is truncated after its headers. */
   abstract receiveCut(): void;
   /** Called instead of `receiveHead` if no attempt gives a response. */
