fix: a second response is not taken for the rest of the first

Cause: a server that responds twice writes the second response where more of a body without a length may follow, and nothing looked at these bytes.

Ruled out: cutting the body where the second response begins (whether the first was whole can't be known then). Change: a body without a length is searched for a status line with the identifier of a request of its connection in a header behind it; such a response counts as cut and malformed, so it is retried where that is allowed and ends in 502 otherwise.

What is known of a body without a length moves into a module of its own.

--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -20,6 +20,7 @@
   checkResponseFraming,
   computeMaxResponseBytes,
 } from "./response_framing.ts";
+import { UnsizedBody } from "./unsized_body.ts";
 
 const FIRST_UNSUCCESSFUL_STATUS = 300;
 /** Copies of earlier responses that are read before the attempt is given up. */
@@ -42,11 +43,11 @@
   #responseBytes = 0;
   #bytesReadBefore = 0;
   #hasHead = false;
-  #isSelfDelimited = true;
+  /** Set if the response ends with its connection. */
+  #unsizedBody: UnsizedBody | undefined;
   #pendingChunk: Buffer | undefined;
   #isFlushScheduled = false;
   #hasEnded = false;
-  #wasReset = false;
   #isFinished = false;
   #isDispatchDenied = false;
   #isSuccess = false;
@@ -156,7 +157,7 @@
       totalMs: this.#clock.readMonotonicMs() - this.#startedAtMs,
       wasConnectionReused: this.#wasConnectionReused,
       answerBytes: this.#responseBytes,
-      endsWithConnection: !this.#isSelfDelimited,
+      endsWithConnection: this.#unsizedBody !== undefined,
     };
   }
 
@@ -220,12 +221,10 @@
       return;
     }
     this.#isSuccess = status < FIRST_UNSUCCESSFUL_STATUS;
-    this.#isSelfDelimited = checkResponseFraming(
-      this.request.method,
-      status,
-      headers,
-    );
-    const isDelimited = this.#isSelfDelimited ||
+    if (!checkResponseFraming(this.request.method, status, headers)) {
+      this.#unsizedBody = new UnsizedBody(this.#connection, this.request);
+    }
+    const isDelimited = this.#unsizedBody === undefined ||
       this.request.mayEndWithConnection;
     const isProven = !this.#isSuccess ||
       this.request.isProven({ status, headers });
@@ -254,6 +253,10 @@
       return;
     }
     this.#responseBytes += chunk.length;
+    if (this.#unsizedBody?.observe(chunk) === false) {
+      this.#reportFailure({ outcome: "cut", isMalformed: true });
+      return;
+    }
     const previous = this.#pendingChunk;
     this.#pendingChunk = chunk;
     this.#scheduleFlush();
@@ -272,7 +275,7 @@
       return;
     }
     this.#hasEnded = true;
-    this.#wasReset = !this.#isSelfDelimited && !this.#connection.hasPeer();
+    this.#unsizedBody?.observeEnd();
     this.#scheduleFlush();
   }
 
@@ -325,18 +328,20 @@
       }
     } else if (this.#connection.hasUnsolicitedBytes()) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
-    } else if (
-      this.#wasReset || this.#isCutOff() || this.#hasNoBody(chunk)
-    ) {
+    } else if (this.#unsizedBody?.isCut(this.#isSuccess) === true) {
       this.#reportFailure({ outcome: "cut", isMalformed: false });
     } else {
-      this.#isFinished = true;
-      this.#connection.dataListener = undefined;
-      this.#releaseConnection();
-      this.#listener.receiveEnd(this, chunk);
+      this.#complete(chunk);
     }
   }
 
+  #complete(chunk: Buffer | undefined): void {
+    this.#isFinished = true;
+    this.#connection.dataListener = undefined;
+    this.#releaseConnection();
+    this.#listener.receiveEnd(this, chunk);
+  }
+
   // A copy of an earlier response has begun; the response to this attempt follows.
   #dropCopy(): void {
     this.#isSkipping = true;
@@ -361,16 +366,6 @@
     }
   }
 
-  // An empty body would have a length; without one, the server has broken off.
-  #hasNoBody(chunk: Buffer | undefined): boolean {
-    return this.#isSuccess && !this.#isSelfDelimited &&
-      this.#responseBytes === 0 && chunk === undefined;
-  }
-
-  #isCutOff(): boolean {
-    return !this.#isSelfDelimited && this.#connection.hasBeenReset();
-  }
-
   #deliver(chunk: Buffer): void {
     if (!this.#listener.receiveChunk(this, chunk)) {
       this.#controller?.pause();
--- a/packages/entry/src/serving/backend_attempt_test.ts
+++ b/packages/entry/src/serving/backend_attempt_test.ts
@@ -206,6 +206,19 @@
     },
   );
 
+  it.each([0, 30])(
+    "fails if a second response follows after %i ms",
+    async (delayMs) => {
+      const end = await sendTo((socket) => {
+        socket.write(`${HEAD}whole`);
+        setTimeout(() => {
+          socket.end("HTTP/1.1 200 OK\r\nid: 0\r\n\r\nwhole");
+        }, delayMs);
+      });
+      expect(end).toEqual({ kind: "failed", outcome: "cut" });
+    },
+  );
+
   it("is complete if the server closes at once", async () => {
     const end = await sendTo((socket) => {
       socket.end(`${HEAD}whole`);
--- /dev/null
+++ b/packages/entry/src/serving/second_response_detector_test.ts
@@ -0,0 +1,40 @@
+import { SecondResponseDetector } from "./second_response_detector.ts";
+
+const ID = "9c41d07be2a35f68";
+const SECOND =
+  `HTTP/1.1 200 OK\r\nRequest-Id: ${ID}\r\ncontent-length: 4\r\n\r\nbody`;
+
+function detectIn(chunks: readonly string[]): boolean {
+  const detector = new SecondResponseDetector(["1f", ID]);
+  return chunks.map((chunk) => detector.observe(Buffer.from(chunk)))
+    .some(Boolean);
+}
+
+// Guards against a second response that is taken for the rest of the first.
+describe("SecondResponseDetector", () => {
+  it("finds a response that bears an identifier of the connection", () => {
+    expect(detectIn([`body${SECOND}`])).toBe(true);
+  });
+
+  it("finds one that is cut anywhere", () => {
+    const text = `HTTP/1.1 body HTTP/1.1 200 ${SECOND}`;
+    for (let at = 1; at < text.length; at++) {
+      expect(detectIn([text.slice(0, at), text.slice(at)])).toBe(true);
+    }
+  });
+
+  it("finds one behind a long text that looks like one", () => {
+    const text = "HTTP/1.1 404 \r\n".repeat(5_000);
+    expect(detectIn([text, SECOND])).toBe(true);
+  });
+
+  it.each([
+    "body",
+    "",
+    `a text that names ${ID}\r\n`,
+    "HTTP/1.1 200 OK\r\nRequest-Id: 9c41d07be2a35f69\r\n\r\n",
+    `HTTP/1.1 200 OK\r\nbody\r\n${ID}\r\n`,
+  ])("leaves other text alone: %j", (text) => {
+    expect(detectIn([text])).toBe(false);
+  });
+});
--- /dev/null
+++ b/packages/entry/src/serving/unsized_body.ts
@@ -0,0 +1,58 @@
+/** Decides whether a body that ends with its connection is whole. */
+
+import type { AttemptRequest } from "./attempt_message.ts";
+import type { BackendConnection } from "./backend_connection_pool.ts";
+import { SecondResponseDetector } from "./second_response_detector.ts";
+
+/**
+ * A body without a length. Its end is the end of its connection, which says little:
+ * this class collects what else shows that the server has not sent all of it.
+ */
+export class UnsizedBody {
+  readonly #connection: BackendConnection;
+  readonly #detector: SecondResponseDetector;
+  #hasBytes = false;
+  #wasReset = false;
+
+  /**
+   * Creates a body of which nothing has been read.
+   *
+   * @param connection - connection that brings it
+   * @param request - request of the attempt
+   */
+  constructor(connection: BackendConnection, request: AttemptRequest) {
+    this.#connection = connection;
+    this.#detector = new SecondResponseDetector([
+      request.identity.id,
+      ...connection.answeredIds,
+    ]);
+  }
+
+  /**
+   * Observes the next bytes.
+   *
+   * @param chunk - bytes received
+   * @returns false if a second response follows in them
+   */
+  observe(chunk: Buffer): boolean {
+    this.#hasBytes ||= chunk.length > 0;
+    return !this.#detector.observe(chunk);
+  }
+
+  /** Observes the end of the connection, as soon as it is reported. */
+  observeEnd(): void {
+    this.#wasReset = !this.#connection.hasPeer();
+  }
+
+  /**
+   * Checks for signs that the body was cut.
+   *
+   * @param isSuccess - true for the body of a success
+   * @returns true for a reset, and for a success without a body, which would
+   * have a length
+   */
+  isCut(isSuccess: boolean): boolean {
+    return this.#wasReset || this.#connection.hasBeenReset() ||
+      (isSuccess && !this.#hasBytes);
+  }
+}
--- a/packages/standins/src/fleet/cut_response_test.ts
+++ b/packages/standins/src/fleet/cut_response_test.ts
@@ -78,6 +78,11 @@
   });
 }
 
+function buildResponse(id: string, body: string): string {
+  return `HTTP/1.1 200 OK\r\n${PROTOCOL_HEADER.requestId}: ${id}\r\n` +
+    `${PROTOCOL_HEADER.signature}: s\r\n\r\n${body}`;
+}
+
 // An HTTP/1.0 caller knows a length or the end of the connection, and no chunks.
 function fetchByHttp10(vm: VmProcessHandle, path: string): Promise<string> {
   return new Promise((resolve) => {
@@ -122,11 +127,7 @@
     for (const server of fleet.servers) {
       server.chooseRawResponse = ({ headers }): RawResponse => {
         const id = String(headers[PROTOCOL_HEADER.requestId]);
-        return {
-          bytes: `HTTP/1.1 200 OK\r\n${PROTOCOL_HEADER.requestId}: ${id}\r\n` +
-            `${PROTOCOL_HEADER.signature}: s\r\n\r\n${body}`,
-          end,
-        };
+        return { bytes: buildResponse(id, body), end };
       };
     }
   }
@@ -192,6 +193,20 @@
     expectCut(await fetchAll(vm, { stallMs: STALL_MS }));
   });
 
+  it("ends where a second response follows it", async () => {
+    for (const server of fleet.servers) {
+      server.chooseRawResponse = ({ headers }): RawResponse => {
+        const id = String(headers[PROTOCOL_HEADER.requestId]);
+        const bytes = buildResponse(id, SHORT_BODY);
+        return { bytes: bytes + bytes, end: "close" };
+      };
+    }
+    const responses = await fetchAll(vm);
+    expect(responses.map(({ status }) => status)).toEqual(
+      responses.map(() => STATUS_BAD_GATEWAY),
+    );
+  });
+
   it("has a length for an HTTP/1.0 caller, or is refused", async () => {
     setResponse(SHORT_BODY, "close");
     const short = await fetchByHttp10(vm, "/read/short");
