fix: the end of a server's process is not taken for the end of its response

Cause: the kernel ends the connections of a process in order, so such an end looks like that of the response.

What can be known: the process has given up its listening port as well. Ruled out: other connections to the server (there may be none) and its entry in the store (seconds later). Change: before a response without a length counts as whole, the VM connects to the server once; if it is refused while other servers are not (the check of a lost link), the response is cut.

What remains: a server that breaks off and lives, or is back at once, can't be told from one that has sent all; one that ends right behind a whole response of this kind costs that response. Price: a connect for each response without a length.

Evidence: backend_attempt_test (server ended, server runs) and cut_response_test "does not look whole if the server's process ends midway", red before.

--- a/packages/entry/src/fleet/crash_guard.ts
+++ b/packages/entry/src/fleet/crash_guard.ts
@@ -17,6 +17,7 @@
 import {
   CrashObserver,
   type EndedRun,
+  type ProbedServer,
   type ServerCrash,
 } from "./crash_observer.ts";
 import type { FleetLog } from "./fleet_log.ts";
@@ -142,6 +143,18 @@
     return this.#gated.has(request);
   }
 
+  /**
+   * Finds out whether a server's process still runs.
+   *
+   * @param server - identifier and address
+   * @returns false if it refuses connections, and other servers do not
+   */
+  async verifyRunning({ id, address }: ProbedServer): Promise<boolean> {
+    const { probe, verifyLinks } = this.#options;
+    const result = await probe.probe(address);
+    return result !== "refused" || !await verifyLinks(id);
+  }
+
   /**
    * Ends an admitted request that did not run.
    *
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -316,6 +316,7 @@
           request: { id: request.context.id, grant },
         });
       },
+      verifyServer: () => guard.verifyRunning(announced),
       complete: (sample) => {
         service.complete(slot, sample, clock.readMonotonicMs());
         this.#log.recordEnded(request, slot, sample);
--- a/packages/entry/src/ports/server_router.ts
+++ b/packages/entry/src/ports/server_router.ts
@@ -36,6 +36,13 @@
    * @param notice - state according to the response
    */
   observeNotice?(notice: ServerNotice): void;
+  /**
+   * Finds out whether the server's process still runs; absent if the router has no
+   * way to know.
+   *
+   * @returns false if it refuses connections, and other servers do not
+   */
+  readonly verifyServer?: () => Promise<boolean>;
 }
 
 /** Decision on the request for a slot. */
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -202,10 +202,8 @@
     if (running === undefined) {
       return;
     }
-    this.#completePlacement(
-      running,
-      attempt.measureSample(running.outcome),
-    );
+    const sample = attempt.measureSample(running.outcome);
+    this.#completePlacement(running, sample);
     if (attempt === this.#winner) {
       this.#isFinished = true;
       this.#receiver.receiveEnd(last);
@@ -281,16 +279,17 @@
     this.#attempts.recordStart();
     this.#tried.push(placement.server.id);
     const span = openAttemptSpan(this.#ports, this.#request, placement);
+    const message = this.#dialect.buildAttempt(this.#request, {
+      number: this.#attempts.started,
+      nowMs: this.#ports.clock.readMonotonicMs(),
+      traceparent: span?.traceparent,
+      server: placement.server.id,
+      ...placement.isForwarded === true
+        ? { forwarding: { attempts: sent, isCounted } }
+        : {},
+    });
     const attempt = new BackendAttempt(
-      this.#dialect.buildAttempt(this.#request, {
-        number: this.#attempts.started,
-        nowMs: this.#ports.clock.readMonotonicMs(),
-        traceparent: span?.traceparent,
-        server: placement.server.id,
-        ...placement.isForwarded === true
-          ? { forwarding: { attempts: sent, isCounted } }
-          : {},
-      }),
+      { ...message, verifyServer: placement.verifyServer },
       openAttemptConnection(this.#dependencies, placement),
       { clock: this.#ports.clock, listener: this },
     );
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -336,6 +336,14 @@
   }
 
   #complete(chunk: Buffer | undefined): void {
+    const verified = this.#unsizedBody?.verifyServer();
+    if (verified !== undefined) {
+      this.#pendingChunk = chunk;
+      void verified.then(() => {
+        this.#flush();
+      });
+      return;
+    }
     this.#isFinished = true;
     this.#connection.dataListener = undefined;
     this.#releaseConnection();
--- a/packages/entry/src/serving/backend_attempt_test.ts
+++ b/packages/entry/src/serving/backend_attempt_test.ts
@@ -50,6 +50,7 @@
 // Sends one request for each answer, the next one after the end of the last.
 async function sendInTurn(
   answers: readonly Answer[],
+  verifyServer?: () => Promise<boolean>,
 ): Promise<readonly AttemptEnd[]> {
   let received = 0;
   const server = net.createServer((socket) => {
@@ -82,6 +83,7 @@
         isProven: () => true,
         mayEndWithConnection: true,
         mayDispatch: undefined,
+        verifyServer,
       },
       pool.acquire({ host: "127.0.0.1", port }),
       { clock, listener },
@@ -95,8 +97,11 @@
   return ends;
 }
 
-async function sendTo(answer: Answer): Promise<AttemptEnd | undefined> {
-  const [end] = await sendInTurn([answer]);
+async function sendTo(
+  answer: Answer,
+  verifyServer?: () => Promise<boolean>,
+): Promise<AttemptEnd | undefined> {
+  const [end] = await sendInTurn([answer], verifyServer);
   return end;
 }
 
@@ -206,6 +211,17 @@
     },
   );
 
+  it.each([
+    { isRunning: false, end: { kind: "failed", outcome: "cut" } },
+    { isRunning: true, end: { kind: "complete", body: "whole" } },
+  ])("ends truly as the server runs: $isRunning", async (row) => {
+    const verifyServer = (): Promise<boolean> => Promise.resolve(row.isRunning);
+    const end = await sendTo((socket) => {
+      socket.end(`${HEAD}whole`);
+    }, verifyServer);
+    expect(end).toEqual(row.end);
+  });
+
   it.each([0, 30])(
     "fails if a second response follows after %i ms",
     async (delayMs) => {
--- a/packages/entry/src/serving/unsized_body.ts
+++ b/packages/entry/src/serving/unsized_body.ts
@@ -10,9 +10,11 @@
  */
 export class UnsizedBody {
   readonly #connection: BackendConnection;
+  readonly #request: AttemptRequest;
   readonly #detector: SecondResponseDetector;
   #hasBytes = false;
   #wasReset = false;
+  #isVerified = false;
 
   /**
    * Creates a body of which nothing has been read.
@@ -22,6 +24,7 @@
    */
   constructor(connection: BackendConnection, request: AttemptRequest) {
     this.#connection = connection;
+    this.#request = request;
     this.#detector = new SecondResponseDetector([
       request.identity.id,
       ...connection.answeredIds,
@@ -48,11 +51,27 @@
    * Checks for signs that the body was cut.
    *
    * @param isSuccess - true for the body of a success
-   * @returns true for a reset, and for a success without a body, which would
-   * have a length
+   * @returns true for a reset, for a server that has ended, and for a success
+   * without a body, which would have a length
    */
   isCut(isSuccess: boolean): boolean {
     return this.#wasReset || this.#connection.hasBeenReset() ||
       (isSuccess && !this.#hasBytes);
   }
+
+  /**
+   * Verifies once that the server has not ended, which cuts what it was sending.
+   *
+   * @returns resolves with the result; undefined if there is nothing to verify
+   */
+  verifyServer(): Promise<void> | undefined {
+    const { verifyServer } = this.#request;
+    if (verifyServer === undefined || this.#isVerified) {
+      return undefined;
+    }
+    this.#isVerified = true;
+    return verifyServer().then((isRunning) => {
+      this.#wasReset ||= !isRunning;
+    });
+  }
 }
--- a/packages/standins/src/fleet/cut_response_test.ts
+++ b/packages/standins/src/fleet/cut_response_test.ts
@@ -207,6 +207,29 @@
     );
   });
 
+  // The kernel ends the connections of a process in order.
+  it("does not look whole if the server's process ends midway", async () => {
+    setResponse(LONG_BODY, "close");
+    const [dead] = fleet.servers;
+    if (dead === undefined) {
+      throw new Error("the fleet has no server");
+    }
+    const runs: string[] = [];
+    dead.chooseRawResponse = ({ target, headers }): RawResponse => {
+      runs.push(target);
+      fleet.serverLinks[0]?.refuseNew();
+      const id = String(headers[PROTOCOL_HEADER.requestId]);
+      return { bytes: buildResponse(id, SHORT_BODY), end: "close" };
+    };
+    const responses = await fetchAll(vm);
+    expect(runs.length).toBeGreaterThan(0);
+    expect(responses).toEqual(responses.map(() => ({
+      status: STATUS_OK,
+      bytes: LONG_BODY.length,
+      isComplete: true,
+    })));
+  });
+
   it("has a length for an HTTP/1.0 caller, or is refused", async () => {
     setResponse(SHORT_BODY, "close");
     const short = await fetchByHttp10(vm, "/read/short");
--- a/packages/standins/src/platform/tcp_fault_proxy.ts
+++ b/packages/standins/src/platform/tcp_fault_proxy.ts
@@ -80,6 +80,14 @@
     }
   }
 
+  /** Refuses new connections, while open ones go on. */
+  refuseNew(): void {
+    if (!this.#isRefusing && !this.#isStopped) {
+      this.#isRefusing = true;
+      this.#server.close();
+    }
+  }
+
   /** Stops listening and resets all connections. */
   async stop(): Promise<void> {
     this.#isStopped = true;
