fix: an exception that nothing catches cut all requests in flight

What callers saw: a booking in flight at any server lost its connection, with no line in the log, when anything in the process threw where nobody caught it. Cause: Node's default ends the process at once, with its own text on stderr. Change: `fleet` and `serve` log one line (exception-uncaught: cause and stack of bounded length), count it and stop as on SIGTERM; the process exits with 1. An exception before the start is complete still ends the process, after its line. Ruled out: an exit in the handler after a flush of the log, which cuts the same requests. `serve` has no test of its own.

--- a/packages/entry/src/command/fleet_command.ts
+++ b/packages/entry/src/command/fleet_command.ts
@@ -16,6 +16,7 @@
 import { SystemClock } from "../vm/system_clock.ts";
 import { EXIT_CODE } from "./exit_code.ts";
 import { waitStopSignal } from "./stop_signal.ts";
+import { UncaughtExceptions } from "./uncaught_exceptions.ts";
 
 /** Share of the grace period after which the process exits in any case. */
 const FORCED_EXIT_SHARE = 0.95;
@@ -30,7 +31,7 @@
     details: "Runs until SIGTERM or SIGINT, then stops within the grace " +
       "period. The settings file is given by --settings or by " +
       `${SETTINGS_VARIABLE}. Exit codes: 0 stopped gracefully, 1 failed to ` +
-      "start or to stop in time, 2 invalid settings.",
+      "start or to stop in time or stopped by an exception, 2 invalid settings.",
     examples: [
       ["Run", "$0 fleet --settings /etc/limpetford.yaml"],
       ["Check settings only", "$0 fleet --settings FILE --check-settings"],
@@ -74,6 +75,14 @@
     vm: settings.self.incarnation.vm,
   });
   const metrics = new PrometheusMetrics();
+  const exceptions = new UncaughtExceptions({
+    count: () => {
+      metrics.count("uncaught_exceptions");
+    },
+    log: (report) => {
+      log.record("exception-uncaught", report);
+    },
+  });
   const stopRequested = waitStopSignal();
   process.on("SIGHUP", () => {
     void reportReload(file, log);
@@ -81,13 +90,10 @@
   try {
     const random = new SeededRandomSource(randomInt(SEED_RANGE));
     const vm = new FleetVm(settings, { clock, random, log, metrics });
-    await vm.start();
-    await stopRequested;
-    setTimeout(() => {
-      process.exit(EXIT_CODE.failed);
-    }, settings.gracePeriodMs * FORCED_EXIT_SHARE).unref();
-    await vm.drain();
-    return EXIT_CODE.stopped;
+    await startUnlessThrown(vm, exceptions);
+    await Promise.race([stopRequested, exceptions.waitFirst()]);
+    await stopVm(vm, settings, exceptions);
+    return exceptions.hasOccurred ? EXIT_CODE.failed : EXIT_CODE.stopped;
   } catch (error) {
     const cause = error instanceof Error ? error.message : String(error);
     log.record("start-failed", { cause });
@@ -95,9 +101,44 @@
   } finally {
     await metrics.close();
     await log.close();
+    if (exceptions.hasOccurred) {
+      // What the exception cut short may hold the process.
+      process.exit(EXIT_CODE.failed);
+    }
   }
 }
 
+// A stop that an exception cuts short leaves what is in flight its time.
+async function stopVm(
+  vm: FleetVm,
+  { gracePeriodMs }: FleetSettings,
+  exceptions: UncaughtExceptions,
+): Promise<void> {
+  const forcedExit = setTimeout(() => {
+    process.exit(EXIT_CODE.failed);
+  }, gracePeriodMs * FORCED_EXIT_SHARE).unref();
+  try {
+    await vm.drain();
+  } catch (error) {
+    exceptions.report(error);
+    forcedExit.ref();
+    await new Promise(() => undefined);
+  }
+}
+
+// A start that an exception cuts short might never end.
+async function startUnlessThrown(
+  vm: FleetVm,
+  exceptions: UncaughtExceptions,
+): Promise<void> {
+  await Promise.race([
+    vm.start(),
+    exceptions.waitFirst().then(() => {
+      throw new Error("an exception that nothing caught");
+    }),
+  ]);
+}
+
 // Logs whether the changed file is valid. Its values are not applied: addresses
 // and bounds are fixed until the next start of the process.
 async function reportReload(file: string, log: FleetLog): Promise<void> {
--- a/packages/entry/src/command/vm_process.ts
+++ b/packages/entry/src/command/vm_process.ts
@@ -20,7 +20,9 @@
 import { StatsdMetrics } from "../telemetry/statsd_metrics.ts";
 import { EntryVm } from "../vm/entry_vm.ts";
 import { SystemClock } from "../vm/system_clock.ts";
+import { EXIT_CODE } from "./exit_code.ts";
 import { waitStopSignal } from "./stop_signal.ts";
+import { UncaughtExceptions } from "./uncaught_exceptions.ts";
 
 const SEED_RANGE = 0x7fff_ffff;
 
@@ -62,17 +64,23 @@
    * Runs until SIGTERM or SIGINT.
    *
    * @returns true if the VM stopped without aborting a request; false if it
-   * failed to start or the drain timed out
+   * failed to start, the drain timed out, or something threw that nothing caught
    */
   async run(): Promise<boolean> {
+    const exceptions = this.#observeExceptions();
     const stopRequested = waitStopSignal();
     const { platform } = this.#settings;
     const log = new HttpLogService(platform.log);
     const vmList = new HttpVmList(platform.vmList);
     try {
-      const vm = await this.#start(log, vmList);
-      await stopRequested;
-      return await this.#stop(vm);
+      const vm = await Promise.race([
+        this.#start(log, vmList),
+        exceptions.waitFirst().then(() => {
+          throw new Error("an exception that nothing caught");
+        }),
+      ]);
+      await Promise.race([stopRequested, exceptions.waitFirst()]);
+      return await this.#stop(vm) && !exceptions.hasOccurred;
     } catch (error) {
       const cause = error instanceof Error ? error.message : String(error);
       this.#log.record({ kind: "start-failed", cause });
@@ -82,9 +90,24 @@
       await vmList.close();
       await this.#metrics.close();
       await this.#spans?.close();
+      if (exceptions.hasOccurred) {
+        // What the exception cut short may hold the process.
+        process.exit(EXIT_CODE.failed);
+      }
     }
   }
 
+  #observeExceptions(): UncaughtExceptions {
+    return new UncaughtExceptions({
+      count: () => {
+        this.#metrics.count("uncaught_exceptions");
+      },
+      log: (report) => {
+        this.#log.record({ kind: "exception-uncaught", ...report });
+      },
+    });
+  }
+
   async #start(log: LogService, vmList: VmList): Promise<EntryVm> {
     const vm = await EntryVm.create(this.#settings.vm, {
       log,
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -31,6 +31,12 @@
     meaning: "the VM failed to start, and the process exits",
     fields: { cause: "text" },
   },
+  "exception-uncaught": {
+    level: "error",
+    meaning:
+      "a fault of the program: something threw and nothing caught it; the VM stops gracefully, and the process exits with 1",
+    fields: { cause: "text", stack: "text" },
+  },
   "settings-reloaded": {
     level: "info",
     meaning: "the settings file was checked; if valid, the next start uses it",
--- a/packages/entry/src/telemetry/state_log.ts
+++ b/packages/entry/src/telemetry/state_log.ts
@@ -15,7 +15,12 @@
   | { readonly kind: "drain-started" }
   | { readonly kind: "drain-timed-out" }
   | { readonly kind: "stopped" }
-  | { readonly kind: "start-failed"; readonly cause: string };
+  | { readonly kind: "start-failed"; readonly cause: string }
+  | {
+    readonly kind: "exception-uncaught";
+    readonly cause: string;
+    readonly stack: string;
+  };
 
 /** Minimum severity of the lines that are written. */
 export type LogLevel = "error" | "warn" | "info" | "debug";
@@ -36,6 +41,7 @@
   "drain-timed-out": "error",
   "stopped": "info",
   "start-failed": "error",
+  "exception-uncaught": "error",
 };
 
 /**
--- a/packages/standins/src/fleet/link_fault_preload.cjs
+++ b/packages/standins/src/fleet/link_fault_preload.cjs
@@ -1,5 +1,5 @@
 // Loaded into a VM's process under test, before the program. Injects faults of its
-// links to backend servers, as messages of the parent process say.
+// links to backend servers, and exceptions, as messages of the parent process say.
 "use strict";
 
 const net = require("node:net");
@@ -59,7 +59,39 @@
   }
 }
 
+const EXCEPTIONS = {
+  "error": () => {
+    throw new Error("injected");
+  },
+  "rejection": () => {
+    void Promise.reject(new Error("injected"));
+  },
+  // Whatever reads a property of it, or converts it, throws in its turn.
+  "unreadable": () => {
+    throw new Proxy({}, {
+      get() {
+        throw new Error("unreadable");
+      },
+      getPrototypeOf() {
+        throw new Error("unreadable");
+      },
+    });
+  },
+  "undefined": () => {
+    throw undefined;
+  },
+  "repeated": () => {
+    setInterval(() => {
+      throw new Error("injected");
+    }, 1);
+  },
+};
+
 process.on("message", (message) => {
+  if (message.exception !== undefined) {
+    setTimeout(EXCEPTIONS[message.exception], 0);
+    return;
+  }
   fault = message.fault;
   ports = new Set(message.ports);
   applyFault();
--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -27,6 +27,21 @@
 export type ServerLinkFault =
   typeof SERVER_LINK_FAULT[keyof typeof SERVER_LINK_FAULT];
 
+/** Exceptions that a VM's process can be made to throw where nothing catches them. */
+export const INJECTED_EXCEPTION = {
+  error: "error",
+  /** A promise that nobody waits for is rejected. */
+  rejection: "rejection",
+  /** An object whose properties can't be read. */
+  unreadable: "unreadable",
+  undefined: "undefined",
+  /** An error in each millisecond until the process ends. */
+  repeated: "repeated",
+} as const;
+/** One of the exceptions in `INJECTED_EXCEPTION`. */
+export type InjectedException =
+  typeof INJECTED_EXCEPTION[keyof typeof INJECTED_EXCEPTION];
+
 const PRELOAD_PATH = "packages/standins/src/fleet/link_fault_preload.cjs";
 
 /** Identity, addresses and settings file of a VM's process. */
@@ -125,6 +140,17 @@
     }
   }
 
+  /**
+   * Makes the process throw from a timer.
+   *
+   * @param exception - what it throws
+   */
+  sendException(exception: InjectedException): void {
+    if (this.#child?.connected === true) {
+      this.#child.send({ exception });
+    }
+  }
+
   /**
    * Waits until the process exits.
    *
