fix: a malformed message of a VM ended those that read it

What callers saw: with one message of odd form at the peer address, or one odd reply, the directory and the timers of the VM threw from then on (leaders are chosen, the store is read), which before the guard ended its process at once. The VM passed the odd record on to the others. Cause: messages were cast, not checked; a field missing in a record throws long after the message was applied. Change: schemas for each call and reply, checked where messages are decoded. A call of another form gets 400, a reply of another form counts as lost. Ruled out: a guard around each reader alone, as the odd record would stay and spread. The time that the check takes was not measured.

--- a/packages/peer/src/fleet_calls.ts
+++ b/packages/peer/src/fleet_calls.ts
@@ -5,6 +5,7 @@
 import { makeError, makeOk, type Result } from "@limpetford/domain/result";
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import { Agent } from "undici";
+import type * as z from "zod";
 
 import type { CallTraffic } from "./call_traffic.ts";
 import type {
@@ -23,6 +24,16 @@
   decodeMessage,
   encodeMessage,
 } from "./message_codec.ts";
+import {
+  EMPTY_REPLY_SCHEMA,
+  EVIDENCE_SCHEMA,
+  SERVER_LIMIT_REPORT_SCHEMA,
+  SERVER_TOKEN_REPLY_SCHEMA,
+  SERVER_TOKEN_REQUEST_SCHEMA,
+  SYNC_MESSAGE_SCHEMA,
+  TOKEN_REPLY_SCHEMA,
+  TOKEN_REQUEST_SCHEMA,
+} from "./message_schemas.ts";
 import type { PeerError } from "./peer_error.ts";
 
 const PATH = {
@@ -32,6 +43,22 @@
   serverToken: "/server-token",
   serverLimit: "/server-limit",
 } as const;
+type CallPath = typeof PATH[keyof typeof PATH];
+// A message of another form would throw later, in timers and for other callers.
+const REQUEST_SCHEMAS: Readonly<Record<CallPath, z.ZodType>> = {
+  [PATH.exchange]: SYNC_MESSAGE_SCHEMA,
+  [PATH.evidence]: EVIDENCE_SCHEMA,
+  [PATH.token]: TOKEN_REQUEST_SCHEMA,
+  [PATH.serverToken]: SERVER_TOKEN_REQUEST_SCHEMA,
+  [PATH.serverLimit]: SERVER_LIMIT_REPORT_SCHEMA,
+};
+const REPLY_SCHEMAS: Readonly<Record<CallPath, z.ZodType>> = {
+  [PATH.exchange]: SYNC_MESSAGE_SCHEMA,
+  [PATH.evidence]: EMPTY_REPLY_SCHEMA,
+  [PATH.token]: TOKEN_REPLY_SCHEMA,
+  [PATH.serverToken]: SERVER_TOKEN_REPLY_SCHEMA,
+  [PATH.serverLimit]: EMPTY_REPLY_SCHEMA,
+};
 const ENCODING_HEADER = "content-encoding";
 const ACCEPTED_HEADER = "accept-encoding";
 /** Size of the heads of a request and its response, as estimated. */
@@ -183,7 +210,7 @@
   }
 
   async #send<Reply>(
-    path: string,
+    path: CallPath,
     message: unknown,
     { to, timeoutMs, compression = CALL_COMPRESSION.none }: FleetCallOptions,
   ): Promise<Result<Reply, PeerError>> {
@@ -204,12 +231,14 @@
         path.slice(1),
         HEAD_BYTES + body.length + reply.length,
       );
-      return response.statusCode === STATUS_OK
-        ? makeOk(decodeMessage(reply, isCompressed(response.headers)) as Reply)
-        : makeError({
-          kind: "peer-refused",
-          cause: `status ${response.statusCode}`,
-        });
+      if (response.statusCode !== STATUS_OK) {
+        const cause = `status ${response.statusCode}`;
+        return makeError({ kind: "peer-refused", cause });
+      }
+      const decoded = decodeMessage(reply, isCompressed(response.headers));
+      return REPLY_SCHEMAS[path].safeParse(decoded).success
+        ? makeOk(decoded as Reply)
+        : makeError({ kind: "peer-reply-lost", cause: "malformed reply" });
     } catch (error) {
       const cause = error instanceof Error ? error.message : String(error);
       return makeError({ kind: "peer-reply-lost", cause });
@@ -299,8 +328,14 @@
     response.end(body);
   }
 
-  // Messages are not validated: both sides run the same software.
-  #selectReply(path: string, message: unknown): unknown {
+  #selectReply(target: string, message: unknown): unknown {
+    const path = Object.values(PATH).find((known) => known === target);
+    if (path === undefined) {
+      return undefined;
+    }
+    if (!REQUEST_SCHEMAS[path].safeParse(message).success) {
+      throw new Error("malformed message");
+    }
     switch (path) {
       case PATH.exchange:
         return this.#handlers.handleExchange(message as SyncMessage);
@@ -316,8 +351,6 @@
       case PATH.serverLimit:
         this.#handlers.handleServerLimitReport(message as ServerLimitReport);
         return {};
-      default:
-        return undefined;
     }
   }
 }
