test: odd input from outside ends no process

A fuzz test with real processes (fast-check, seeded): odd requests and raw bytes at the five addresses of a VM, odd records in the topics of servers, VMs and suspicions, odd configurations, odd answers of servers and of the store, odd calls and replies of a peer. Not covered: `serve`, TLS, the operators' address.

--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -22,13 +22,11 @@
 import { ServerStandin } from "../platform/server_standin.ts";
 import { type StoreCopy, StoreStandin } from "../platform/store_standin.ts";
 import { TcpFaultProxy } from "../platform/tcp_fault_proxy.ts";
+import { VM_PORTS } from "./vm_ports.ts";
 import { type ServerLinkFault, VmProcessHandle } from "./vm_process_handle.ts";
 
 /** Port of every VM for its callers. */
-export const CALLER_PORT = 18_001;
-const READY_PORT = 18_002;
-const DIRECTORY_PORT = 18_003;
-const PEER_PORT = 18_004;
+export const CALLER_PORT = VM_PORTS.caller;
 /** Time within which a process must exit after SIGTERM, in seconds. */
 export const GRACE_PERIOD_SECONDS = 4;
 const POLL_MS = 50;
@@ -111,7 +109,9 @@
         zone: `zone-${zone}`,
       }))
     );
-    this.#seeds = hosts.slice(0, 2).map(({ host }) => `${host}:${PEER_PORT}`);
+    this.#seeds = hosts.slice(0, 2).map(({ host }) =>
+      `${host}:${VM_PORTS.peer}`
+    );
     for (const [index, { host, zone }] of hosts.entries()) {
       await this.#startVm({ id: `vm-${index}`, host, zone });
     }
@@ -175,8 +175,17 @@
    * @param overrides - deviations from the default configuration
    */
   publishNextConfiguration(overrides: ConfigurationOverrides = {}): void {
-    this.#configurationVersion += 1;
-    publishConfiguration(this.store, this.#configurationVersion, overrides);
+    const version = this.takeConfigurationVersion();
+    publishConfiguration(this.store, version, overrides);
+  }
+
+  /**
+   * Takes the next version of the configuration.
+   *
+   * @returns the version, for the caller to publish
+   */
+  takeConfigurationVersion(): number {
+    return ++this.#configurationVersion;
   }
 
   /**
@@ -198,8 +207,8 @@
    * @returns true if every VM is ready
    */
   async isFleetReady(): Promise<boolean> {
-    const ready = await Promise.all(this.vms.map((vm) => this.isReady(vm)));
-    return ready.every(Boolean);
+    return (await Promise.all(this.vms.map((vm) => this.isReady(vm))))
+      .every(Boolean);
   }
 
   /**
@@ -209,8 +218,7 @@
    * @returns true if it answers that it is ready
    */
   async isReady(vm: VmProcessHandle): Promise<boolean> {
-    const address = { host: vm.host, port: READY_PORT };
-    return await probeReadiness(address);
+    return await probeReadiness({ host: vm.host, port: VM_PORTS.ready });
   }
 
   /**
@@ -224,10 +232,8 @@
     vm: VmProcessHandle,
     zone: string,
   ): Promise<readonly string[]> {
-    return await resolveAddresses(
-      { host: vm.host, port: DIRECTORY_PORT },
-      zone,
-    );
+    const address = { host: vm.host, port: VM_PORTS.directory };
+    return await resolveAddresses(address, zone);
   }
 
   /**
@@ -354,9 +360,10 @@
         vm: { id: vm.id, zone: vm.zone, region: "r", cores: vm.cores },
         addresses: {
           caller: `${vm.host}:${CALLER_PORT}`,
-          ready: `${vm.host}:${READY_PORT}`,
-          directory: `${vm.host}:${DIRECTORY_PORT}`,
-          peer: `${vm.host}:${PEER_PORT}`,
+          ready: `${vm.host}:${VM_PORTS.ready}`,
+          directory: `${vm.host}:${VM_PORTS.directory}`,
+          peer: `${vm.host}:${VM_PORTS.peer}`,
+          metrics: `${vm.host}:${VM_PORTS.metrics}`,
         },
         store: formatAddress(vm.storeAddress),
         seeds: this.#seeds,
--- a/packages/standins/src/platform/store_standin.ts
+++ b/packages/standins/src/platform/store_standin.ts
@@ -64,6 +64,8 @@
   era = 0;
   /** Sent in place of the era, if set. */
   eraHeader: string | undefined;
+  /** Chooses bytes to write in place of an answer; undefined to answer. */
+  chooseRawAnswer: (() => Buffer | undefined) | undefined;
   /** Called after each request, with the number of requests so far. */
   answerListener: ((count: number) => void) | undefined;
   readonly #topics = new Map<string, StoredTopic>();
@@ -248,6 +250,11 @@
       case "none":
         break;
     }
+    const raw = this.chooseRawAnswer?.();
+    if (raw !== undefined) {
+      request.socket.end(raw);
+      return;
+    }
     const url = new URL(request.url ?? "/", "http://store.invalid");
     await this.#serve(`${request.method ?? ""} ${url.pathname}`, {
       query: url.searchParams,
