fix: a huge time in a configuration ended each VM that answered by it

What callers saw: after an operator published an idle timeout of 1e306 s, a VM threw after the first answer on a kept connection, and its process ended. Cause: in milliseconds the time is infinite, and Node's socket.setTimeout refuses that in a callback of its own. Shorter ones above 2^31 ms make timers fire at once. Change: times of a configuration are at most 2^30 ms (12 days) when it is decoded. Ruled out: refusing the configuration, as the rest of it may withdraw keys. That 2^31 ms and more fire at once was read in Node's documentation, not shown by a test.

--- a/packages/platform/src/store/configuration_decoder.ts
+++ b/packages/platform/src/store/configuration_decoder.ts
@@ -14,6 +14,8 @@
 import * as z from "zod";
 
 const MS_PER_S = 1_000;
+/** Longest time; timers keep twice as much, so that margins may be added. */
+const MAX_TIME_MS = 2 ** 30;
 const IDEMPOTENT_ROUTE_KIND = "safe";
 /** Priority of a route that sets none; 0 is the most urgent. */
 const LOWEST_PRIORITY = Number.MAX_SAFE_INTEGER;
@@ -112,8 +114,8 @@
     callerLimits: {
       headerBytes: limits.maximum_header_bytes,
       bodyBytes: limits.maximum_body_bytes,
-      headerTimeoutMs: limits.header_timeout_s * MS_PER_S,
-      idleTimeoutMs: limits.idle_timeout_s * MS_PER_S,
+      headerTimeoutMs: toTimeMs(limits.header_timeout_s),
+      idleTimeoutMs: toTimeMs(limits.idle_timeout_s),
     },
     hasTeams: tenants !== undefined,
   });
@@ -137,7 +139,7 @@
   if (first === undefined) {
     return [];
   }
-  const deadlineMs = route.timeout_s * MS_PER_S;
+  const deadlineMs = toTimeMs(route.timeout_s);
   return [{
     id: toId<RouteId>(name),
     service: first.service,
@@ -150,10 +152,14 @@
     deadlineMs,
     targetLatencyMs: route.target_latency_s === undefined
       ? deadlineMs
-      : route.target_latency_s * MS_PER_S,
+      : toTimeMs(route.target_latency_s),
     maxAttempts: route.maximum_attempts,
     priority: route.priority,
     bodyLimitBytes,
     derivedKeyWindowMs: 0,
   }];
 }
+
+function toTimeMs(seconds: number): number {
+  return Math.min(seconds * MS_PER_S, MAX_TIME_MS);
+}
--- a/packages/standins/src/fleet/odd_input_test.ts
+++ b/packages/standins/src/fleet/odd_input_test.ts
@@ -4,6 +4,12 @@
 import type { SocketAddress } from "@limpetford/domain/vm";
 import fc from "fast-check";
 
+import {
+  ODD_CONFIGURATION,
+  ODD_PEER_CALLS,
+  ODD_TOPICS,
+  SYNC_MESSAGE,
+} from "../platform/odd_input_templates.ts";
 import {
   buildOddAnswers,
   buildOddRecords,
@@ -14,12 +20,6 @@
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import {
-  ODD_CONFIGURATION,
-  ODD_PEER_CALLS,
-  ODD_TOPICS,
-  SYNC_MESSAGE,
-} from "./odd_input_templates.ts";
 import { encodeCall, OddPeer } from "./odd_peer.ts";
 import { VM_PORTS } from "./vm_ports.ts";
 import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
--- a/packages/standins/src/fleet/odd_peer.ts
+++ b/packages/standins/src/fleet/odd_peer.ts
@@ -4,7 +4,7 @@
 
 import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 
-import { SYNC_MESSAGE } from "./odd_input_templates.ts";
+import { SYNC_MESSAGE } from "../platform/odd_input_templates.ts";
 import { VM_PORTS } from "./vm_ports.ts";
 
 /**
--- a/packages/standins/src/fleet/odd_input_templates.ts
+++ b/packages/standins/src/platform/odd_input_templates.ts
@@ -1,7 +1,7 @@
 /** Documents in order, of which odd inputs are made. */
 
-import { SOUND_ANNOUNCEMENT } from "../platform/odd_announcements.ts";
-import { PROTOCOL_TOPIC } from "../platform/protocol_names.ts";
+import { SOUND_ANNOUNCEMENT } from "./odd_announcements.ts";
+import { PROTOCOL_TOPIC } from "./protocol_names.ts";
 
 const ODD_VM = {
   incarnation: { vm: "vm-odd", startedAtMs: 1 },
@@ -110,6 +110,28 @@
   },
 };
 
+/**
+ * Builds a configuration in order except for its times.
+ *
+ * @param version - its version
+ * @param seconds - each of its times
+ * @returns the document
+ */
+export function buildTimedConfiguration(
+  version: number,
+  seconds: number,
+): unknown {
+  const { routes, limits, tenants } = ODD_CONFIGURATION;
+  const times = { timeout_s: seconds, target_latency_s: seconds };
+  return {
+    ...ODD_CONFIGURATION,
+    version,
+    routes: { read: { ...routes.read, ...times } },
+    limits: { ...limits, header_timeout_s: seconds, idle_timeout_s: seconds },
+    tenants: { dance: Object.values(tenants)[0] },
+  };
+}
+
 /** Message of a VM of the same zone, without a configuration of its own. */
 export const SYNC_MESSAGE = {
   from: "vm-odd",
