--- a/packages/standins/src/fleet/planned_stop_test.ts
+++ b/packages/standins/src/fleet/planned_stop_test.ts
@@ -158,6 +158,23 @@
     expect((await booking).status).toBe(STATUS_OK);
   });
 
+  // Guards against a person at a terminal who can't tell why the process ended.
+  it("ends at once by a second SIGINT, and says so", async () => {
+    for (const server of fleet.servers) {
+      server.processingMs = MS_PER_S;
+    }
+    const booking = sendBooking("in-flight");
+    await waitMs(MS_PER_S / 4);
+    vm.sendSignal("SIGINT");
+    await waitMs(MS_PER_S / 4);
+    expect(vm.isRunning()).toBe(true);
+    const exited = vm.waitForExit();
+    vm.sendSignal("SIGINT");
+    expect(await exited).toBeNull();
+    expect((await booking).status).toBe(0);
+    expect(vm.log).toContain("second SIGINT");
+  });
+
   // Guards against requests that wait for a slot until the process exits, and hear
   // nothing then.
   it("tells what has not ended whether it was sent", async () => {
