--- a/packages/entry/src/fleet/crash_observer_test.ts
+++ b/packages/entry/src/fleet/crash_observer_test.ts
@@ -34,6 +34,7 @@
   readonly probe: FakeConnectProbe;
   readonly observer: CrashObserver;
   areLinksSound = true;
+  deadlineMs = 1_000;
 
   constructor(results: ConnectResult[]) {
     this.probe = new FakeConnectProbe(results);
@@ -51,9 +52,13 @@
     outcome: AttemptOutcome,
     firstByteMs?: number,
   ): Promise<void> {
+    const request = buildPlacementRequest(`request-${fingerprint}`, {
+      fingerprint,
+    });
+    const context = { ...request.context, deadlineAtMs: this.deadlineMs };
     void this.observer.observe({
       server: SERVER,
-      request: buildPlacementRequest(`request-${fingerprint}`, { fingerprint }),
+      request: { ...request, context },
       sample: {
         outcome,
         firstByteMs,
@@ -116,6 +121,53 @@
     expect(harness.listSuspects()).toEqual([["late"]]);
   });
 
+  it("suspects a request that crashes its server long after its caller left", async () => {
+    const harness = new Harness(["refused"]);
+    harness.deadlineMs = 4_000;
+    await harness.observe("impatient", "cancelled");
+    harness.clock.advance(3_900);
+    await harness.observe("other", "reset-before-first-byte");
+    expect(harness.listSuspects()).toEqual([["impatient", "other"]]);
+  });
+
+  it("suspects a request that is given up at its deadline and crashes its server then", async () => {
+    const harness = new Harness(["accepted", "refused"]);
+    harness.deadlineMs = 1_000;
+    harness.clock.advance(1_000);
+    await harness.observe("late", "timed-out");
+    harness.clock.advance(400);
+    await harness.observe("other", "connect-failed");
+    expect(harness.listSuspects()).toEqual([["late"]]);
+  });
+
+  it("does not suspect a request after the deadline that its server got", async () => {
+    const harness = new Harness(["refused"]);
+    harness.deadlineMs = 4_000;
+    await harness.observe("impatient", "cancelled");
+    harness.clock.advance(5_100);
+    await harness.observe("other", "reset-before-first-byte");
+    expect(harness.listSuspects()).toEqual([["other"]]);
+  });
+
+  it("does not suspect the slower attempt of a hedged request that was served", async () => {
+    const harness = new Harness(["refused"]);
+    harness.deadlineMs = 4_000;
+    await harness.observe("hedged", "cancelled");
+    await harness.observe("hedged", "served", 20);
+    await harness.observe("other", "reset-before-first-byte");
+    expect(harness.listSuspects()).toEqual([["other"]]);
+  });
+
+  it("does not take the response to another request for proof", async () => {
+    const harness = new Harness(["refused"]);
+    harness.deadlineMs = 4_000;
+    await harness.observe("impatient", "cancelled");
+    await harness.observe("other", "served", 20);
+    harness.clock.advance(3_000);
+    await harness.observe("third", "connect-failed");
+    expect(harness.listSuspects()).toEqual([["impatient"]]);
+  });
+
   it("does not suspect a request that the server had begun to answer", async () => {
     const harness = new Harness(["refused"]);
     await harness.observe("answering", "cancelled", 20);
--- a/packages/standins/src/fleet/crashing_request_test.ts
+++ b/packages/standins/src/fleet/crashing_request_test.ts
@@ -4,6 +4,7 @@
   CallerRequest,
   CallerResponse,
 } from "../platform/caller_client.ts";
+import type { ReceivedRequest } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
@@ -21,6 +22,11 @@
 const ALLOWED_LATE_RUNS = 3;
 const REPEAT_MS = 300;
 const RUN_MS = 9_000;
+/** A crash near the end of the route's time, which is 3 s. */
+const LATE_CRASH_DELAY_MS = 2_500;
+const DEPARTURE_MS = 300;
+const DEPARTED_REPEAT_MS = 2_000;
+const DEPARTED_RUN_MS = 24_000;
 
 interface CrashingRequest {
   readonly name: string;
@@ -99,16 +105,30 @@
     return await Promise.all(sent);
   }
 
-  function countRuns(afterMs = 0): number {
+  function listRuns(afterMs: number): readonly ReceivedRequest[] {
     return fleet.servers.flatMap(({ received }) => received).filter((run) =>
       run.target.endsWith("/crash") && run.receivedAtMs > afterMs
-    ).length;
+    );
   }
 
-  function countLateRuns(): number {
+  function countRuns(afterMs = 0): number {
+    return listRuns(afterMs).length;
+  }
+
+  function findLateMs(): number {
     const crashes = fleet.servers.flatMap(({ crashedAtMs }) => crashedAtMs);
     const thirdAtMs = crashes.sort((a, b) => a - b)[2] ?? Infinity;
-    return countRuns(thirdAtMs + REACTION_MS);
+    return thirdAtMs + REACTION_MS;
+  }
+
+  function countLateRuns(): number {
+    return countRuns(findLateMs());
+  }
+
+  // Hedges of one sending count once, as the rule counts retries.
+  function countLateSendings(): number {
+    const late = listRuns(findLateMs());
+    return new Set(late.map(({ headers }) => headers["request-id"])).size;
   }
 
   async function stopAllVms(): Promise<void> {
@@ -146,6 +166,48 @@
     40_000,
   );
 
+  // Guards against crashes that come long after the VM has given up the request.
+  it(
+    "is refused soon after the third crash, though its caller left 2 s before",
+    async () => {
+      for (const server of fleet.servers) {
+        server.crashBehavior = {
+          isCrashing: ({ target }) => target.endsWith("/crash"),
+          delayMs: LATE_CRASH_DELAY_MS,
+          downMs: DOWN_MS,
+        };
+      }
+      const impatient = {
+        path: "/read/crash",
+        key: KEY,
+        abortAfterMs: DEPARTURE_MS,
+      };
+      const [, others] = await Promise.all([
+        sendRepeatedly([impatient], {
+          everyMs: DEPARTED_REPEAT_MS,
+          forMs: DEPARTED_RUN_MS,
+        }),
+        sendRepeatedly([{ path: "/read/other", key: KEY }], {
+          everyMs: 50,
+          forMs: DEPARTED_RUN_MS,
+        }),
+      ]);
+      expect(countLateSendings()).toBeLessThanOrEqual(ALLOWED_LATE_RUNS);
+      const patient = { path: "/read/crash", key: KEY };
+      const [answer] = await sendRepeatedly([patient], {
+        everyMs: 1,
+        forMs: 1,
+      });
+      expect(answer?.status).toBe(STATUS_UNAVAILABLE);
+      expect(answer?.body).toContain("quarantined");
+      const lastOthers = others.slice(-others.length / 3);
+      expect(lastOthers.map(({ status }) => status)).toEqual(
+        lastOthers.map(() => STATUS_OK),
+      );
+    },
+    60_000,
+  );
+
   it("stays refused after all VMs were killed", async () => {
     const requests = [{ path: "/read/crash", key: KEY }];
     await sendRepeatedly(requests, { everyMs: REPEAT_MS, forMs: 5_000 });
