fix: requests whose callers left long before they crashed a server

Callers saw: a request that crashes each server which runs it was never quarantined if its caller left more than 2 s before the crash.

Cause: crash_observer forgot an attempt 2 s after its end (RECENT_ATTEMPT_MS).

Ruled out: another fingerprint for forwarded requests; the receiving VM observes these attempts itself.

Change: an attempt is kept until its server has crashed, the same request has been served, or 1 s after the deadline that was sent, at least 2 s; so are those that timed out or broke at a server that goes on. A crash also shows by a probe of servers that may run a suspect request, by the loss of an idle connection, by a new start in the announcement (not after draining), and by the word of another VM. Where the request was given up before each of its crashes, one crash more is needed; a suspect's run counts in full. An attempt without a connection no longer counts.

--- a/packages/core/src/evidence/attempt_sample.ts
+++ b/packages/core/src/evidence/attempt_sample.ts
@@ -33,4 +33,6 @@
   readonly wasConnectionReused: boolean;
   /** Size of the response. */
   readonly answerBytes: number;
+  /** False if the request was certainly not sent; absent if not known. */
+  readonly wasSent?: boolean;
 }
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -27,6 +27,11 @@
    * connection for it; absent in records of earlier versions.
    */
   readonly wasServerRunning?: boolean | undefined;
+  /**
+   * True if its VM had given it up before the crash, so that the server may have
+   * stopped work on it; absent in records of earlier versions.
+   */
+  readonly wasGivenUp?: boolean | undefined;
 }
 
 /** Knowledge about one request, replicated between the VMs. */
--- a/packages/core/src/quarantine/suspicion_registry.ts
+++ b/packages/core/src/quarantine/suspicion_registry.ts
@@ -16,6 +16,11 @@
  * been in flight by coincidence.
  */
 const CRASHES_TO_QUARANTINE_AMID_OTHERS = 3;
+/**
+ * Crashes needed besides if no run is known to have been under way at its crash.
+ * A server most often stops work on a request that was given up.
+ */
+const MORE_CRASHES_IF_GIVEN_UP = 1;
 /** How long a crash without a request counts in that request's favor. */
 const OTHER_CRASH_MS = 10_000;
 /** How long a cleared request is kept, so that all VMs learn of it. */
@@ -36,6 +41,8 @@
   readonly endedAtMs: number;
   /** True if the server accepted a new connection after the dispatch. */
   readonly wasServerRunning: boolean;
+  /** True if its VM had given it up before the crash. */
+  readonly wasGivenUp?: boolean;
 }
 
 /** Called with each suspicion that has changed. */
@@ -95,6 +102,7 @@
         ranMs: endedAtMs - sentAtMs,
         crashedAtMs: endedAtMs,
         wasServerRunning: interrupted.wasServerRunning,
+        ...interrupted.wasGivenUp === true ? { wasGivenUp: true } : {},
       };
       this.apply({
         fingerprint,
@@ -232,9 +240,11 @@
       nowMs - atMs <= OTHER_CRASH_MS &&
       !runs.some((run) => run.server === server)
     );
-    return hasOtherCrash
+    const needed = hasOtherCrash
       ? CRASHES_TO_QUARANTINE_AMID_OTHERS
       : CRASHES_TO_QUARANTINE;
+    const isWeak = runs.every(({ wasGivenUp }) => wasGivenUp === true);
+    return isWeak ? needed + MORE_CRASHES_IF_GIVEN_UP : needed;
   }
 
   #put(suspicion: Suspicion, nowMs: number): void {
--- a/packages/core/src/quarantine/suspicion_registry_test.ts
+++ b/packages/core/src/quarantine/suspicion_registry_test.ts
@@ -25,6 +25,8 @@
     readonly crash: string;
     readonly ranMs?: number;
     readonly isNewConnection?: true;
+    /** True if the run had been given up before the crash. */
+    readonly isGivenUp?: true;
   }
   | { readonly at: number; readonly served: true };
 
@@ -36,6 +38,57 @@
 }
 
 const CASES: readonly RegistryCase[] = [
+  {
+    name: "two crashes after it was given up",
+    events: [
+      { at: 0, crash: "s1", ranMs: 60, isGivenUp: true },
+      { at: 400, crash: "s2", ranMs: 60, isGivenUp: true },
+    ],
+    status: "suspect",
+    crashCount: 2,
+  },
+  {
+    name: "three crashes after it was given up",
+    events: [
+      { at: 0, crash: "s1", ranMs: 60, isGivenUp: true },
+      { at: 400, crash: "s2", ranMs: 60, isGivenUp: true },
+      { at: 800, crash: "s3", ranMs: 60, isGivenUp: true },
+    ],
+    status: "quarantined",
+    crashCount: 3,
+  },
+  {
+    name: "a crash after it was given up and one while it ran",
+    events: [
+      { at: 0, crash: "s1", ranMs: 60, isGivenUp: true },
+      { at: 400, crash: "s2", ranMs: 60 },
+    ],
+    status: "quarantined",
+    crashCount: 2,
+  },
+  {
+    name: "three crashes after it was given up, while other servers crash",
+    events: [
+      { at: 0, crash: "s1", ranMs: 60, isGivenUp: true },
+      { at: 300, crash: "s9" },
+      { at: 400, crash: "s2", ranMs: 60, isGivenUp: true },
+      { at: 800, crash: "s3", ranMs: 60, isGivenUp: true },
+    ],
+    status: "suspect",
+    crashCount: 3,
+  },
+  {
+    name: "crashes after it was given up, served in between",
+    events: [
+      { at: 0, crash: "s1", ranMs: 60, isGivenUp: true },
+      { at: 400, crash: "s2", ranMs: 60, isGivenUp: true },
+      { at: 500, served: true },
+      { at: 800, crash: "s3", ranMs: 60, isGivenUp: true },
+      { at: 1_200, crash: "s4", ranMs: 60, isGivenUp: true },
+    ],
+    status: "suspect",
+    crashCount: 2,
+  },
   {
     name: "one crash",
     events: [{ at: 0, crash: "s1", ranMs: 60 }],
@@ -158,13 +211,14 @@
     registry.recordServed(REQUEST, event.at);
     return;
   }
-  const { at, crash, ranMs, isNewConnection } = event;
+  const { at, crash, ranMs, isNewConnection, isGivenUp } = event;
   const runs = ranMs === undefined ? [] : [{
     fingerprint: REQUEST,
     id: `run at ${crash}`,
     sentAtMs: at - ranMs,
     endedAtMs: at,
     wasServerRunning: isNewConnection === true,
+    wasGivenUp: isGivenUp === true,
   }];
   registry.recordCrash(crash, runs, at);
 }
--- a/packages/entry/src/fakes/exchange_side.ts
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -111,6 +111,7 @@
       clock,
       log,
       verifyLinks: () => Promise.resolve(true),
+      findStart: (server) => state.findServer(server),
       readReader: () => SUSPICION_READER.none,
       notifyNews: () => undefined,
       handleInformed: () => undefined,
--- a/packages/entry/src/fleet/crash_guard.ts
+++ b/packages/entry/src/fleet/crash_guard.ts
@@ -18,6 +18,7 @@
   CrashObserver,
   type EndedRun,
   type ServerCrash,
+  type ServerStart,
 } from "./crash_observer.ts";
 import type { FleetLog } from "./fleet_log.ts";
 
@@ -33,6 +34,9 @@
 /** Longest time that a suspect request waits for the run of an equal one. */
 const MAX_WAIT_MS = 2_000;
 
+/** Suspect requests whose servers are probed, the last ones that changed. */
+const MAX_WATCHED_SUSPECTS = 50;
+
 /** Dependencies of a {@link CrashGuard}. */
 export interface CrashGuardOptions {
   readonly registry: SuspicionRegistry;
@@ -172,7 +176,10 @@
         });
       }
     }
-    const probe = this.#observer.observe(run);
+    const probe = this.#observer.observe({
+      ...run,
+      wasSuspect: this.isSuspect(request),
+    });
     if (probe === undefined) {
       this.withdraw(request);
     } else {
@@ -182,6 +189,41 @@
     }
   }
 
+  /**
+   * Looks for crashes that no other request shows. Must be called regularly.
+   *
+   * @param findStart - present start of a server; undefined if not known
+   */
+  update(findStart: (server: ServerId) => ServerStart | undefined): void {
+    const { registry } = this.#options;
+    const suspects = registry.isEmpty ? [] : registry.list().filter(
+      ({ status }) => status === SUSPICION_STATUS.suspect,
+    ).slice(-MAX_WATCHED_SUSPECTS);
+    this.#observer.update(
+      suspects.map(({ fingerprint }) => fingerprint),
+      findStart,
+    );
+  }
+
+  /**
+   * Records that a server has ended an idle connection.
+   *
+   * @param address - address of the server, as `host:port`
+   */
+  observeIdleLost(address: string): void {
+    this.#observer.observeIdleLost(address);
+  }
+
+  /**
+   * Records a crash that another VM has noticed.
+   *
+   * @param server - server that crashed
+   * @param atMs - monotonic time of the crash, in milliseconds
+   */
+  observePeerCrash(server: ServerId, atMs: number): void {
+    this.#observer.observePeerCrash(server, atMs);
+  }
+
   #recordCrash(crash: ServerCrash): void {
     const { registry, clock, handleCrash } = this.#options;
     const nowMs = clock.readMonotonicMs();
@@ -190,8 +232,10 @@
         fingerprint: run.fingerprint,
         id: `${request}/${attempt}`,
         sentAtMs: run.sentAtMs,
-        endedAtMs: run.endedAtMs,
+        endedAtMs: run.wasGivenUp ? nowMs : run.endedAtMs,
         wasServerRunning: run.wasServerRunning,
+        // A suspect was alone at its server, as far as this VM knows.
+        wasGivenUp: run.wasGivenUp && !run.wasSuspect,
       }),
     );
     registry.recordCrash(crash.server, runs, nowMs);
--- a/packages/entry/src/fleet/crash_guard_test.ts
+++ b/packages/entry/src/fleet/crash_guard_test.ts
@@ -12,6 +12,11 @@
 import { FleetLog } from "./fleet_log.ts";
 
 const REQUEST = "request";
+const GIVEN_UP_CRASHES = [
+  ["s1", "suspect"],
+  ["s2", "suspect"],
+  ["s3", "quarantined"],
+] as const;
 
 // Answers each probe when the test says so.
 class HeldConnectProbe extends ConnectProbe {
@@ -63,10 +68,11 @@
   function buildRequest(
     attempt = 1,
     signal = new AbortController().signal,
+    fingerprint = REQUEST,
   ): PlacementRequest {
     count += 1;
     return buildPlacementRequest(`sending-${count}`, {
-      fingerprint: REQUEST,
+      fingerprint,
       attempt,
       signal,
     });
@@ -188,4 +194,28 @@
     await waitTurn();
     expect(second.result).toBe("overloaded");
   });
+
+  // Guards against a harmless request that many callers send and leave.
+  it("quarantines a request that was given up only after more crashes", async () => {
+    for (const [server, status] of GIVEN_UP_CRASHES) {
+      complete(buildRequest(), "cancelled", server);
+      complete(buildRequest(1, undefined, "other"), "connect-failed", server);
+      await probe.complete("refused");
+      expect(registry.findStatus(REQUEST)).toBe(status);
+      clock.advance(400);
+    }
+  });
+
+  it("counts the given up run of a suspect in full", async () => {
+    complete(buildRequest(), "cancelled");
+    complete(buildRequest(1, undefined, "other"), "connect-failed");
+    await probe.complete("refused");
+    clock.advance(400);
+    const suspect = buildRequest();
+    expect(await guard.admit(suspect)).toBeUndefined();
+    complete(suspect, "cancelled", "s2");
+    guard.update(() => undefined);
+    await probe.complete("refused");
+    expect(registry.findStatus(REQUEST)).toBe("quarantined");
+  });
 });
--- a/packages/entry/src/fleet/crash_observer_test.ts
+++ b/packages/entry/src/fleet/crash_observer_test.ts
@@ -1,14 +1,20 @@
 import { FakeClock } from "@limpetford/core/time/fake_clock";
 import { type ServerId, toId } from "@limpetford/domain/ids";
+import { SERVER_STATE } from "@limpetford/domain/service";
 
 import { buildPlacementRequest } from "../fakes/placement_request.ts";
 import type { AttemptOutcome } from "../ports/server_router.ts";
 import { ConnectProbe, type ConnectResult } from "./connect_probe.ts";
-import { CrashObserver, type ServerCrash } from "./crash_observer.ts";
+import {
+  CrashObserver,
+  type ServerCrash,
+  type ServerStart,
+} from "./crash_observer.ts";
 import { FleetLog } from "./fleet_log.ts";
 
 const SERVER = {
   id: toId<ServerId>("i-1"),
+  startedAtMs: 1,
   address: { host: "127.0.0.1", port: 1 },
 };
 
@@ -71,6 +77,16 @@
     await new Promise((resolve) => setImmediate(resolve));
   }
 
+  // One round of the checks that the VM makes all the time.
+  async update(
+    suspect: string,
+    start: ServerStart = { startedAtMs: 1, state: SERVER_STATE.active },
+  ): Promise<void> {
+    this.observer.update([suspect], () => start);
+    this.clock.advance(500);
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+
   listSuspects(): readonly (readonly string[])[] {
     return this.crashes.map(({ attempts }) =>
       attempts.map(({ fingerprint }) => fingerprint)
@@ -194,4 +210,101 @@
     await harness.observe("b", "reset-before-first-byte");
     expect(harness.listSuspects()).toEqual([["b"]]);
   });
+
+  // No other request shows the crash of a server that serves nothing else.
+  it("probes a server that may be running a suspect request", async () => {
+    const harness = new Harness(["accepted", "refused"]);
+    harness.deadlineMs = 4_000;
+    await harness.observe("suspect", "cancelled");
+    await harness.update("suspect");
+    expect(harness.crashes).toEqual([]);
+    expect(harness.probe.probeCount).toBe(1);
+    await harness.update("suspect");
+    expect(harness.listSuspects()).toEqual([["suspect"]]);
+  });
+
+  it("does not probe servers for requests that are not suspect", async () => {
+    const harness = new Harness(["refused"]);
+    harness.deadlineMs = 4_000;
+    await harness.observe("impatient", "cancelled");
+    await harness.update("suspect");
+    expect(harness.probe.probeCount).toBe(0);
+  });
+
+  it("probes no longer than a server may run the request", async () => {
+    const harness = new Harness([]);
+    harness.deadlineMs = 4_000;
+    await harness.observe("suspect", "cancelled");
+    harness.clock.advance(5_100);
+    await harness.update("suspect");
+    expect(harness.probe.probeCount).toBe(0);
+  });
+
+  it.each([
+    { name: "a restart", isLeaving: false, suspects: [["impatient"]] },
+    { name: "a planned restart", isLeaving: true, suspects: [] },
+  ])("suspects by $name that the server announces", async (testCase) => {
+    const harness = new Harness([]);
+    harness.deadlineMs = 4_000;
+    await harness.observe("impatient", "cancelled");
+    const state = testCase.isLeaving
+      ? SERVER_STATE.leaving
+      : SERVER_STATE.active;
+    await harness.update("none", { startedAtMs: 1, state });
+    expect(harness.crashes).toEqual([]);
+    harness.clock.advance(2_600);
+    await harness.update("none", {
+      startedAtMs: harness.clock.readWallMs() - 100,
+      state: SERVER_STATE.active,
+    });
+    expect(harness.listSuspects()).toEqual(testCase.suspects);
+  });
+
+  it("does not suspect a request that was sent after the restart", async () => {
+    const harness = new Harness([]);
+    harness.deadlineMs = 4_000;
+    harness.clock.advance(1_000);
+    await harness.observe("impatient", "cancelled");
+    await harness.update("none", {
+      startedAtMs: harness.clock.readWallMs() - 100,
+      state: SERVER_STATE.active,
+    });
+    expect(harness.crashes).toEqual([]);
+  });
+
+  it.each<{ outcome: AttemptOutcome; isGivenUp: boolean }>([
+    { outcome: "cancelled", isGivenUp: true },
+    { outcome: "reset-before-first-byte", isGivenUp: false },
+  ])("tells whether the run was given up: $outcome", async (testCase) => {
+    const harness = new Harness(["refused"]);
+    await harness.observe("a", testCase.outcome);
+    await harness.observe("b", "connect-failed");
+    expect(harness.crashes[0]?.attempts[0]?.wasGivenUp).toBe(
+      testCase.isGivenUp,
+    );
+  });
+
+  it("probes a server that ends an idle connection if it may run a request", async () => {
+    const harness = new Harness(["refused"]);
+    harness.deadlineMs = 4_000;
+    harness.observer.observeIdleLost("127.0.0.1:1");
+    expect(harness.probe.probeCount).toBe(0);
+    await harness.observe("impatient", "cancelled");
+    harness.observer.observeIdleLost("127.0.0.1:2");
+    expect(harness.probe.probeCount).toBe(0);
+    harness.observer.observeIdleLost("127.0.0.1:1");
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(harness.listSuspects()).toEqual([["impatient"]]);
+  });
+
+  it("suspects what was sent before a crash that another VM has noticed", async () => {
+    const harness = new Harness([]);
+    harness.deadlineMs = 4_000;
+    await harness.observe("impatient", "cancelled");
+    harness.clock.advance(1_000);
+    await harness.observe("later", "cancelled");
+    harness.observer.observePeerCrash(SERVER.id, 500);
+    harness.observer.observePeerCrash(SERVER.id, 500);
+    expect(harness.listSuspects()).toEqual([["impatient"]]);
+  });
 });
--- a/packages/entry/src/fleet/crash_protection.ts
+++ b/packages/entry/src/fleet/crash_protection.ts
@@ -9,7 +9,7 @@
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import type { ConnectProbe } from "./connect_probe.ts";
 import { CrashGuard } from "./crash_guard.ts";
-import type { ServerCrash } from "./crash_observer.ts";
+import type { ServerCrash, ServerStart } from "./crash_observer.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import { SuspicionSync } from "./suspicion_sync.ts";
 import {
@@ -29,6 +29,8 @@
   readonly probe: ConnectProbe;
   /** Finds out whether this VM reaches other servers, if one refuses it. */
   readonly verifyLinks: (server: ServerId) => Promise<boolean>;
+  /** Finds the present start of a server; undefined if not known. */
+  readonly findStart: (server: ServerId) => ServerStart | undefined;
   readonly client: StoreClient;
   readonly clock: Clock;
   readonly log: FleetLog;
@@ -65,6 +67,9 @@
       clock,
       log,
       handleInformed: options.handleInformed,
+      handlePeerCrash: (server, atMs) => {
+        this.guard.observePeerCrash(server, atMs);
+      },
     });
     this.handler = new SuspicionsHandler({
       registry,
@@ -89,6 +94,7 @@
   /** Drops what is no longer needed, and writes what the store lacks. */
   update(): void {
     this.#checkInformed();
+    this.guard.update(this.#options.findStart);
     this.registry.expire(this.#options.clock.readMonotonicMs());
     this.suspicions.dropExpired();
     void this.handler.writeMissing();
--- a/packages/entry/src/fleet/fleet_caller_server.ts
+++ b/packages/entry/src/fleet/fleet_caller_server.ts
@@ -7,6 +7,7 @@
 import { CallerServer } from "../http/caller_server.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
+import type { CrashGuard } from "./crash_guard.ts";
 import { FleetDecisionLog } from "./fleet_decision_log.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
@@ -37,6 +38,7 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: FleetLog;
+  readonly guard: CrashGuard;
   readonly metrics: PrometheusMetrics;
 }
 
@@ -49,7 +51,7 @@
  */
 export function createFleetCallerServer(
   { self, revocationMs }: FleetSettings,
-  { state, limiter, log, ...parts }: FleetCallerServerParts,
+  { state, limiter, log, guard, ...parts }: FleetCallerServerParts,
 ): CallerServer {
   const server = new CallerServer({
     ...parts,
@@ -65,6 +67,11 @@
   }, {
     address: self.callerAddress,
     maxHeaderBytes: PARSER_HEADER_BYTES,
+    backend: {
+      handleIdleLost: (address) => {
+        guard.observeIdleLost(address);
+      },
+    },
   });
   state.subscribe(() => {
     const limits = state.active?.configuration.callerLimits;
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -131,6 +131,7 @@
     this.#crashes = new CrashProtection({
       probe,
       verifyLinks: (server) => this.#reach.verifyLinks(server),
+      findStart: (server) => state.findServer(server),
       client: this.#client,
       clock,
       log,
@@ -260,6 +261,7 @@
     });
     this.#consumers = this.#buildConsumers();
     this.#callerServer = createFleetCallerServer(settings, {
+      guard: this.#crashes.guard,
       state,
       limiter,
       router: this.#router,
--- a/packages/entry/src/fleet/suspicion_sync.ts
+++ b/packages/entry/src/fleet/suspicion_sync.ts
@@ -8,6 +8,7 @@
 } from "@limpetford/core/quarantine/suspicion";
 import type { SuspicionRegistry } from "@limpetford/core/quarantine/suspicion_registry";
 import type { Clock } from "@limpetford/core/time/clock";
+import { type ServerId, toId } from "@limpetford/domain/ids";
 import type {
   CrashRow,
   EvidenceNotice,
@@ -28,6 +29,8 @@
   readonly log: FleetLog;
   /** Called once, when this VM knows what the store keeps. */
   readonly handleInformed?: () => void;
+  /** Called with each crash that another VM has noticed, and its time. */
+  readonly handlePeerCrash?: (server: ServerId, atMs: number) => void;
 }
 
 /** News that are sent at once instead of with the next exchange. */
@@ -123,6 +126,10 @@
     const nowMs = clock.readMonotonicMs();
     for (const [server, ageMs] of notice.crashes ?? []) {
       registry.recordServerCrash(server, nowMs - ageMs);
+      this.#options.handlePeerCrash?.(
+        toId<ServerId>(server),
+        nowMs - ageMs,
+      );
     }
     this.#applyRows(from, notice.suspicions ?? []);
   }
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -156,6 +156,7 @@
       totalMs: this.#clock.readMonotonicMs() - this.#startedAtMs,
       wasConnectionReused: this.#wasConnectionReused,
       answerBytes: this.#responseBytes,
+      wasSent: this.mayHaveRun,
     };
   }
 
@@ -209,11 +210,8 @@
     }
     this.#firstByteAtMs = this.#clock.readMonotonicMs();
     const { answeredIds } = this.#connection;
-    const owner = findResponseOwner(
-      this.request.identity,
-      headers,
-      answeredIds,
-    );
+    const { identity } = this.request;
+    const owner = findResponseOwner(identity, headers, answeredIds);
     if (owner === RESPONSE_OWNER.earlier) {
       this.#dropCopy();
       return;
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -17,6 +17,8 @@
 const UNSOLICITED_RESPONSE_MESSAGE = "bad response";
 /** Prefix of the error codes of undici's HTTP parser. */
 const PARSER_CODE_PREFIX = "HPE_";
+/** Code of undici's error for a connection that was idle for too long. */
+const IDLE_TIMEOUT_CODE = "UND_ERR_INFO";
 /** Prefix of the error codes of undici itself. */
 const CLIENT_CODE_PREFIX = "UND_ERR_";
 /**
@@ -35,6 +37,8 @@
   readonly maxHeaderBytes?: number;
   /** PEM certificates of the CA that signs servers; plain text by default. */
   readonly authority?: Buffer;
+  /** Called with the address of a server that has ended an idle connection. */
+  readonly handleIdleLost?: (address: string) => void;
 }
 
 /**
@@ -378,6 +382,11 @@
     const index = idle?.indexOf(connection) ?? -1;
     if (index >= 0) {
       idle?.splice(index, 1);
+      const error: NodeJS.ErrnoException | null = connection.socket?.errored ??
+        null;
+      if (error?.code !== IDLE_TIMEOUT_CODE) {
+        this.#options.handleIdleLost?.(address);
+      }
     }
     connection.abort();
   }
--- a/packages/entry/src/serving/lazy_slot_request.ts
+++ b/packages/entry/src/serving/lazy_slot_request.ts
@@ -20,6 +20,7 @@
   totalMs: 0,
   wasConnectionReused: false,
   answerBytes: 0,
+  wasSent: false,
 };
 
 /** Source of the fields that are computed when they are first read. */
--- a/packages/peer/src/fleet_sync.ts
+++ b/packages/peer/src/fleet_sync.ts
@@ -40,6 +40,11 @@
    * VMs that run an earlier version.
    */
   readonly wasServerRunning?: boolean | undefined;
+  /**
+   * True if its VM had given it up before the crash; absent in messages of VMs
+   * that run an earlier version.
+   */
+  readonly wasGivenUp?: boolean | undefined;
 }
 
 /** What the sender knows of a request that may crash servers. */
--- a/packages/platform/src/store/suspicion_codec.ts
+++ b/packages/platform/src/store/suspicion_codec.ts
@@ -30,6 +30,7 @@
     ranMs: z.number(),
     crashedAtWallMs: z.number(),
     wasServerRunning: z.boolean().optional(),
+    wasGivenUp: z.boolean().optional(),
   })),
   writtenAtMs: z.number(),
 });
