fix: entries of servers with missing fields name no server

What callers saw: nothing yet; requests could go to what another writer had left.

Cause: the decoder had defaults for `born` and `warmup_remaining_s` and did not read `version`. Fakes of our own tests lacked them too.

A refused entry is logged once with its key, not with each heartbeat, and counted (gauge refused_server_entries).

--- a/packages/entry/src/fleet/fleet_gauges.ts
+++ b/packages/entry/src/fleet/fleet_gauges.ts
@@ -75,6 +75,11 @@
     "requests that wait for a slot",
     () => balancers.countWaiting(),
   );
+  metrics.addGauge(
+    "refused_server_entries",
+    "entries among those of the servers that name no server",
+    () => state.refusedServers.count,
+  );
   metrics.addGauge(
     "gray_servers",
     "backend servers more likely gray than well",
--- a/packages/entry/src/fleet/fleet_state.ts
+++ b/packages/entry/src/fleet/fleet_state.ts
@@ -6,6 +6,7 @@
   compareLogPositions,
   type LogPosition,
 } from "@limpetford/core/fleet/log_position";
+import { RefusedEntries } from "@limpetford/core/fleet/refused_entries";
 import { StoreEraTracker } from "@limpetford/core/fleet/store_era_tracker";
 import { computeVmListDigest } from "@limpetford/core/fleet/vm_list_digest";
 import type { Clock } from "@limpetford/core/time/clock";
@@ -42,6 +43,8 @@
  */
 export class FleetState extends ConfigurationSource {
   readonly servers = new AnnouncedServers();
+  /** Entries among those of the servers that name no server. */
+  readonly refusedServers = new RefusedEntries();
   readonly #vms = new Map<string, Vm>();
   readonly #eras = new StoreEraTracker();
   readonly #listeners: (() => void)[] = [];
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -30,11 +30,7 @@
 import { SharedRateLimiter } from "./shared_rate_limiter.ts";
 import { StopSchedule } from "./stop_schedule.ts";
 import { StoreEraRecord } from "./store_era_record.ts";
-import {
-  ConfigurationHandler,
-  ServersHandler,
-  VmsHandler,
-} from "./store_handlers.ts";
+import { ConfigurationHandler, ServersHandler } from "./store_handlers.ts";
 import {
   CONFIGURATION_AGE_SHARES,
   SERVERS_AGE_SHARES,
@@ -42,6 +38,7 @@
 } from "./store_read_schedule.ts";
 import { TopicConsumer } from "./topic_consumer.ts";
 import { VmRegistration } from "./vm_registration.ts";
+import { VmsHandler } from "./vms_handler.ts";
 import { ZoneTraffic } from "./zone_traffic.ts";
 
 /** Time between checks for deferred removals and for records to be written. */
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -59,7 +59,7 @@
   "record-unreadable": {
     level: "warn",
     meaning: "a record of the store could not be decoded and was skipped",
-    fields: { topic: "text", offset: "number", cause: "text" },
+    fields: { topic: "text", key: "text", offset: "number", cause: "text" },
   },
   "configuration-in-force": {
     level: "info",
--- a/packages/entry/src/fleet/servers_handler_test.ts
+++ b/packages/entry/src/fleet/servers_handler_test.ts
@@ -4,6 +4,7 @@
 
 import { FleetLog } from "./fleet_log.ts";
 import { FleetState } from "./fleet_state.ts";
+import type { LogEventName } from "./log_events.ts";
 import { ServersHandler } from "./store_handlers.ts";
 
 // Announcements expire while the store is unreachable. If the removals took
@@ -16,17 +17,33 @@
   return buildAnnouncementRecord({ id: "i-1", offset, state });
 }
 
+class RecordingLog extends FleetLog {
+  readonly #logged: string[];
+
+  constructor(clock: FakeClock, logged: string[]) {
+    super({ clock, level: "error", vm: "a" });
+    this.#logged = logged;
+  }
+
+  override record(name: LogEventName): void {
+    this.#logged.push(name);
+  }
+}
+
 describe("ServersHandler", () => {
   let clock: FakeClock;
   let state: FleetState;
   let handler: ServersHandler;
+  let logged: string[];
   beforeEach(() => {
     clock = new FakeClock();
     state = new FleetState(clock);
+    logged = [];
+    const log = new RecordingLog(clock, logged);
     handler = new ServersHandler({
       state,
       clock,
-      log: new FleetLog({ clock, level: "error", vm: "a" }),
+      log,
       readMaxAgeMs: () => 0,
       notifyChange: () => undefined,
     }, 0);
@@ -73,4 +90,32 @@
     clock.advance(5_000);
     expect(countServers()).toBe(1);
   });
+
+  // An entry is written again with each heartbeat of its writer.
+  it("logs an entry that names no server once, and counts it", () => {
+    logged.length = 0;
+    const odd = Buffer.from(JSON.stringify({ service: "s" }));
+    for (const offset of [1, 2, 3]) {
+      handler.applyRecords([{ key: "odd", offset, value: odd }], {
+        era: 0,
+        offset: offset + 1,
+      });
+    }
+    expect(logged).toEqual(["record-unreadable"]);
+    expect(state.refusedServers.count).toBe(1);
+    expect(countServers()).toBe(1);
+    handler.applyRecords([{ key: "odd", offset: 4, value: undefined }], {
+      era: 0,
+      offset: 5,
+    });
+    expect(state.refusedServers.count).toBe(0);
+  });
+
+  it("counts no entry that a snapshot lacks, and keeps the sound ones", () => {
+    const odd = { key: "odd", offset: 1, value: Buffer.from("{}") };
+    handler.applyRecords([odd], { era: 0, offset: 2 });
+    handler.applySnapshot([buildRecord(2, "ready")], { era: 0, offset: 3 });
+    expect(state.refusedServers.count).toBe(0);
+    expect(countServers()).toBe(1);
+  });
 });
--- a/packages/entry/src/fleet/store_handlers.ts
+++ b/packages/entry/src/fleet/store_handlers.ts
@@ -11,7 +11,6 @@
 import { decodeConfiguration } from "@limpetford/platform/store/configuration_decoder";
 import type { KeyedRecord } from "@limpetford/platform/store/log_records";
 import { decodeServer } from "@limpetford/platform/store/server_decoder";
-import { decodeVmRecord } from "@limpetford/platform/store/vm_record_codec";
 import {
   CONFIGURATION_KEY,
   TOPIC,
@@ -32,24 +31,6 @@
  * the store.
  */
 const PASS_ON_MS = 700;
-/** Time between reads of the VM list while no other VM is reachable. */
-const ISOLATED_READ_INTERVAL_MS = 1_000;
-/** Time between reads of the VM list by the first reader. */
-const FIRST_READ_INTERVAL_MS = 5_000;
-/** Time between checks whether this VM has to read the VM list. */
-const READER_CHECK_INTERVAL_MS = 500;
-
-/** Part of a VM in reading the VM list. */
-export const VM_LIST_READER = {
-  /** Reads regularly, since VMs may exist that none of the others knows. */
-  first: "first",
-  /** Knows no reachable VM, and looks for one. */
-  isolated: "isolated",
-  none: "none",
-} as const;
-/** One of {@link VM_LIST_READER}. */
-export type VmListReader = typeof VM_LIST_READER[keyof typeof VM_LIST_READER];
-
 /** Dependencies of the handlers. */
 export interface StoreHandlerOptions {
   readonly state: FleetState;
@@ -145,6 +126,7 @@
       this.#unreadable = pickLaterPosition(this.#unreadable, position);
       log.record("record-unreadable", {
         topic: this.topic,
+        key: CONFIGURATION_KEY,
         offset,
         cause: decoded.error,
       });
@@ -219,6 +201,7 @@
       this.#setRemovalDelay(REWRITE_MS + PASS_ON_MS);
     }
     this.#applyAll(records, end.era);
+    state.refusedServers.keepOnly(new Set(records.map(({ key }) => key)));
     state.servers.removeUnlisted(
       new Set(records.map(({ key }) => key)),
       end,
@@ -279,20 +262,18 @@
       const id = toId<ServerId>(key);
       if (value === undefined) {
         state.servers.applyRemoval(id, { era, offset }, this.#readRemovalMs());
+        state.refusedServers.drop(key);
         log.record("server-gone", { server: key, offset });
         isChanged = true;
         continue;
       }
       const decoded = decodeServer(key, value);
       if (!decoded.ok) {
-        log.record("record-unreadable", {
-          topic: this.topic,
-          offset,
-          cause: decoded.error,
-        });
-      } else if (
-        state.servers.applyAnnouncement(decoded.value, { era, offset })
-      ) {
+        this.#recordRefused(decoded.error, { key, offset });
+        continue;
+      }
+      state.refusedServers.drop(key);
+      if (state.servers.applyAnnouncement(decoded.value, { era, offset })) {
         isChanged = true;
         log.record("server-announced", {
           server: key,
@@ -305,6 +286,22 @@
     return isChanged;
   }
 
+  // An entry is written again with each heartbeat; it is logged once.
+  #recordRefused(
+    cause: string,
+    { key, offset }: Pick<KeyedRecord, "key" | "offset">,
+  ): void {
+    const { state, log } = this.#options;
+    if (state.refusedServers.record(key, cause)) {
+      log.record("record-unreadable", {
+        topic: this.topic,
+        key,
+        offset,
+        cause,
+      });
+    }
+  }
+
   #readRemovalMs(): number {
     const nowMs = this.#options.clock.readMonotonicMs();
     return Math.max(nowMs, this.#removalsDeferredUntilMs);
@@ -317,76 +314,3 @@
     notifyChange();
   }
 }
-
-/**
- * Reads the VM list at one VM, and at any that reaches no other. The others
- * learn about each other from the messages that they exchange.
- */
-export class VmsHandler extends TopicHandler {
-  override readonly topic = TOPIC.vms;
-  override readonly waitMs = 0;
-  readonly #state: FleetState;
-  readonly #clock: Clock;
-  readonly #decideReader: () => VmListReader;
-  #next: LogPosition | undefined;
-  #freshAtMs = -Infinity;
-
-  /**
-   * Creates a handler that has not read the topic yet.
-   *
-   * @param options - state that holds the VM list, and the clock
-   * @param decideReader - decides this VM's present part
-   */
-  constructor(
-    options: { readonly state: FleetState; readonly clock: Clock },
-    decideReader: () => VmListReader,
-  ) {
-    super();
-    this.#state = options.state;
-    this.#clock = options.clock;
-    this.#decideReader = decideReader;
-  }
-
-  override readNextPosition(): LogPosition | undefined {
-    return this.#next;
-  }
-
-  override readDueInMs(): number {
-    switch (this.#decideReader()) {
-      case VM_LIST_READER.first:
-        return FIRST_READ_INTERVAL_MS - this.#readAgeMs();
-      case VM_LIST_READER.isolated:
-        return ISOLATED_READ_INTERVAL_MS - this.#readAgeMs();
-      case VM_LIST_READER.none:
-        return READER_CHECK_INTERVAL_MS;
-    }
-  }
-
-  override applySnapshot(
-    records: readonly KeyedRecord[],
-    end: LogPosition,
-  ): void {
-    this.applyRecords(records, end);
-  }
-
-  override applyRecords(
-    records: readonly KeyedRecord[],
-    next: LogPosition,
-  ): void {
-    this.#next = next;
-    for (const { key, value } of records) {
-      const vm = value === undefined ? undefined : decodeVmRecord(key, value);
-      if (vm !== undefined) {
-        this.#state.applyVm(vm);
-      }
-    }
-  }
-
-  override recordFreshness(atMs: number): void {
-    this.#freshAtMs = atMs;
-  }
-
-  #readAgeMs(): number {
-    return this.#clock.readMonotonicMs() - this.#freshAtMs;
-  }
-}
--- a/packages/entry/src/fleet/store_read_schedule.ts
+++ b/packages/entry/src/fleet/store_read_schedule.ts
@@ -3,11 +3,11 @@
 import type { Clock } from "@limpetford/core/time/clock";
 import type { RandomSource } from "@limpetford/core/time/random_source";
 
-import { VM_LIST_READER, type VmListReader } from "./store_handlers.ts";
 import {
   SUSPICION_READER,
   type SuspicionReader,
 } from "./suspicions_handler.ts";
+import { VM_LIST_READER, type VmListReader } from "./vms_handler.ts";
 
 /**
  * How long after its start a VM that is not a seed does not read the store,
--- a/packages/entry/src/fleet/store_read_schedule_test.ts
+++ b/packages/entry/src/fleet/store_read_schedule_test.ts
@@ -1,8 +1,8 @@
 import { FakeClock } from "@limpetford/core/time/fake_clock";
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 
-import { VM_LIST_READER } from "./store_handlers.ts";
 import { StoreReadSchedule } from "./store_read_schedule.ts";
+import { VM_LIST_READER } from "./vms_handler.ts";
 
 const LATER_MS = 1_500;
 
--- a/packages/entry/src/fleet/suspicions_handler.ts
+++ b/packages/entry/src/fleet/suspicions_handler.ts
@@ -256,6 +256,7 @@
     if (stored === undefined) {
       log.record("record-unreadable", {
         topic: this.topic,
+        key,
         offset,
         cause: "not a suspicion",
       });
--- a/packages/platform/src/fakes/announcement_record.ts
+++ b/packages/platform/src/fakes/announcement_record.ts
@@ -27,8 +27,10 @@
     service: "s",
     address: "10.0.0.1:80",
     zone: "z",
+    version: "v1",
     slots: 3,
     state,
+    warmup_remaining_s: 0,
     sequence_number: offset,
     born: 1,
   });
--- a/packages/platform/src/fakes/published_documents.ts
+++ b/packages/platform/src/fakes/published_documents.ts
@@ -36,8 +36,10 @@
     service: "s",
     address: "10.0.0.1:80",
     zone: "z",
+    version: "v1",
     slots: 3,
     state: isLeaving ? "draining" : "ready",
+    warmup_remaining_s: 0,
     sequence_number: sequence,
     born: 1,
   };
--- a/packages/platform/src/store/server_decoder.ts
+++ b/packages/platform/src/store/server_decoder.ts
@@ -32,9 +32,11 @@
   zone: z.string().min(1),
   slots: z.number().int().positive().max(MAX_SLOTS),
   state: z.enum(["ready", "draining"]),
-  warmup_remaining_s: z.number().nonnegative().max(MAX_WARM_UP_S).default(0),
+  // Not used, but an entry without it is none of a server's.
+  version: z.union([z.string().min(1), z.number()]),
+  warmup_remaining_s: z.number().nonnegative().max(MAX_WARM_UP_S),
   sequence_number: z.number().int().nonnegative(),
-  born: z.number().int().nonnegative().max(MAX_START_MS).default(0),
+  born: z.number().int().nonnegative().max(MAX_START_MS),
 });
 
 /**
--- a/packages/platform/src/store/server_decoder_test.ts
+++ b/packages/platform/src/store/server_decoder_test.ts
@@ -66,6 +66,21 @@
     expect(decodeServer("i-1", Buffer.from(value, "latin1")).ok).toBe(false);
   });
 
+  // Guards against servers that are used by what another writer has left.
+  it.each(Object.keys(VALID))("rejects an entry without %s", (field) => {
+    const text = JSON.stringify({ ...VALID, [field]: undefined });
+    expect(decodeServer("i-1", Buffer.from(text)).ok).toBe(false);
+  });
+
+  it.each(
+    Object.keys(VALID).flatMap((field) =>
+      ["null", "true", "[]", "{}", '""'].map((text) => [field, text])
+    ),
+  )("rejects an entry with %s as %s", (field, text) => {
+    const bytes = Buffer.from(buildText(field, text));
+    expect(decodeServer("i-1", bytes).ok).toBe(false);
+  });
+
   it.each(["", "i-\r\nx: y", "i-\u{1f409}"])("rejects the key %j", (key) => {
     expect(decodeServer(key, Buffer.from(JSON.stringify(VALID))).ok).toBe(
       false,
--- a/packages/standins/src/platform/odd_announcements.ts
+++ b/packages/standins/src/platform/odd_announcements.ts
@@ -31,6 +31,13 @@
   return `{${[...fields, `"${field}":${text}`].join(",")}}`;
 }
 
+function buildWithout(field: string): string {
+  const others = Object.entries(SOUND_ANNOUNCEMENT).filter(([name]) =>
+    name !== field
+  );
+  return JSON.stringify(Object.fromEntries(others));
+}
+
 const NUMBERS = ["1e999", "-1e999", "1e308", "9007199254740993", "-1"];
 /** A number that is an integer, but no sensible value of these fields. */
 const LARGE_INTEGER = "1000000000000000";
@@ -68,6 +75,13 @@
     "addresses out of range",
     ADDRESSES.map((address) => buildOdd("address", JSON.stringify(address))),
   ],
+  ["fields missing", Object.keys(SOUND_ANNOUNCEMENT).map(buildWithout)],
+  [
+    "fields of another type",
+    Object.keys(SOUND_ANNOUNCEMENT).flatMap((field) =>
+      ["null", "true", "[]", "{}"].map((text) => buildOdd(field, text))
+    ),
+  ],
   ["names out of range", [
     buildOdd("service", JSON.stringify("s".repeat(LARGE_BYTES))),
     buildOdd("service", '"__proto__"'),
