--- a/packages/core/src/evidence/attempt_sample.ts
+++ b/packages/core/src/evidence/attempt_sample.ts
@@ -35,4 +35,6 @@
   readonly answerBytes: number;
   /** True if the response had no length and ended with its connection. */
   readonly endsWithConnection?: boolean;
+  /** False if the request was certainly not sent; absent if not known. */
+  readonly wasSent?: boolean;
 }
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -158,6 +158,7 @@
       wasConnectionReused: this.#wasConnectionReused,
       answerBytes: this.#responseBytes,
       endsWithConnection: this.#unsizedBody !== undefined,
+      wasSent: this.mayHaveRun,
     };
   }
 
@@ -211,11 +212,8 @@
     }
     this.#firstByteAtMs = this.#clock.readMonotonicMs();
     const { answeredIds } = this.#connection;
-    const owner = findResponseOwner(
-      this.request.identity,
-      headers,
-      answeredIds,
-    );
+    const { identity } = this.request;
+    const owner = findResponseOwner(identity, headers, answeredIds);
     if (owner === RESPONSE_OWNER.earlier) {
       this.#dropCopy();
       return;
