--- /dev/null
+++ b/packages/entry/src/fakes/backend_exchange.ts
@@ -0,0 +1,160 @@
+/** Sends requests over real connections to a server that a test scripts. */
+
+import * as net from "node:net";
+
+import {
+  type AttemptFailure,
+  AttemptListener,
+} from "../serving/attempt_listener.ts";
+import { BackendAttempt } from "../serving/backend_attempt.ts";
+import { BackendConnectionPool } from "../serving/backend_connection_pool.ts";
+import { SystemClock } from "../vm/system_clock.ts";
+
+/** How an attempt ended. */
+export type AttemptEnd =
+  | { readonly kind: "complete"; readonly body: string }
+  | { readonly kind: "failed"; readonly outcome: AttemptFailure["outcome"] };
+
+/** Answers a request on the connection on which it came. */
+export type Answer = (socket: net.Socket) => void;
+
+/** Collects a response and never pauses it. */
+export class EndListener extends AttemptListener {
+  /** How the attempt has ended. */
+  readonly ended: Promise<AttemptEnd>;
+  #resolve: (end: AttemptEnd) => void = () => undefined;
+  #body = "";
+
+  constructor() {
+    super();
+    this.ended = new Promise((resolve) => {
+      this.#resolve = resolve;
+    });
+  }
+
+  override receiveHead(): void {
+    return;
+  }
+
+  override receiveChunk(_attempt: BackendAttempt, chunk: Buffer): boolean {
+    this.#body += chunk.toString("utf8");
+    return true;
+  }
+
+  override receiveEnd(_attempt: BackendAttempt, last?: Buffer): void {
+    const body = this.#body + (last?.toString("utf8") ?? "");
+    this.#resolve({ kind: "complete", body });
+  }
+
+  override receiveFailure(
+    _attempt: BackendAttempt,
+    { outcome }: AttemptFailure,
+  ): void {
+    this.#resolve({ kind: "failed", outcome });
+  }
+}
+
+/** What differs from a caller that takes whatever comes. */
+export interface ExchangeOptions {
+  /** Builds the listener of one attempt. */
+  readonly buildListener?: (() => EndListener) | undefined;
+  /** Time after which an attempt is cancelled, in milliseconds; never by default. */
+  readonly timeoutMs?: number | undefined;
+}
+
+/** What a series of requests came to. */
+export interface ExchangeResult {
+  /** One for each answer. */
+  readonly ends: readonly AttemptEnd[];
+  /** Connections that the server has accepted. */
+  readonly connectionCount: number;
+}
+
+/**
+ * Sends one request for each answer, the next one after the end of the last.
+ *
+ * @param answers - answers of the server, in the order of the requests
+ * @param options - listener and timeout of the attempts
+ * @returns ends of the attempts
+ */
+export async function sendInTurn(
+  answers: readonly Answer[],
+  options: ExchangeOptions = {},
+): Promise<ExchangeResult> {
+  let received = 0;
+  let connectionCount = 0;
+  const server = net.createServer((socket) => {
+    connectionCount += 1;
+    socket.on("error", () => undefined);
+    socket.on("data", () => {
+      answers[received]?.(socket);
+      received += 1;
+    });
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const pool = new BackendConnectionPool(new SystemClock());
+  const ends: AttemptEnd[] = [];
+  for (const index of answers.keys()) {
+    ends.push(await sendOnce({ pool, port, id: String(index) }, options));
+  }
+  await pool.close();
+  await new Promise((resolve) => server.close(resolve));
+  expect(received).toBe(answers.length);
+  return { ends, connectionCount };
+}
+
+/**
+ * Sends one request.
+ *
+ * @param answer - answer of the server
+ * @param options - listener and timeout of the attempt
+ * @returns end of the attempt
+ */
+export async function sendTo(
+  answer: Answer,
+  options: ExchangeOptions = {},
+): Promise<AttemptEnd | undefined> {
+  const { ends: [end] } = await sendInTurn([answer], options);
+  return end;
+}
+
+interface ExchangeTarget {
+  readonly pool: BackendConnectionPool;
+  readonly port: number;
+  readonly id: string;
+}
+
+async function sendOnce(
+  { pool, port, id }: ExchangeTarget,
+  { buildListener, timeoutMs }: ExchangeOptions,
+): Promise<AttemptEnd> {
+  const listener = buildListener?.() ?? new EndListener();
+  const attempt = new BackendAttempt(
+    {
+      method: "GET",
+      target: "/",
+      headers: [],
+      body: undefined,
+      identity: {
+        id,
+        readId: ({ id }) => id?.toString(),
+        isAlwaysNamed: false,
+      },
+      isProven: () => true,
+      mayEndWithConnection: true,
+      mayDispatch: undefined,
+    },
+    pool.acquire({ host: "127.0.0.1", port }),
+    { clock: new SystemClock(), listener },
+  );
+  const timer = timeoutMs === undefined ? undefined : setTimeout(() => {
+    attempt.cancel("timed-out");
+  }, timeoutMs);
+  attempt.start();
+  const end = await listener.ended;
+  clearTimeout(timer);
+  return end;
+}
--- a/packages/entry/src/serving/backend_attempt_test.ts
+++ b/packages/entry/src/serving/backend_attempt_test.ts
@@ -1,105 +1,11 @@
-import * as net from "node:net";
-
-import { SystemClock } from "../vm/system_clock.ts";
-import { type AttemptFailure, AttemptListener } from "./attempt_listener.ts";
-import { BackendAttempt } from "./backend_attempt.ts";
-import { BackendConnectionPool } from "./backend_connection_pool.ts";
+import {
+  type AttemptEnd,
+  sendInTurn,
+  sendTo,
+} from "../fakes/backend_exchange.ts";
 
 const HEAD = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n";
 
-type AttemptEnd =
-  | { readonly kind: "complete"; readonly body: string }
-  | { readonly kind: "failed"; readonly outcome: AttemptFailure["outcome"] };
-
-class EndListener extends AttemptListener {
-  readonly ended: Promise<AttemptEnd>;
-  #resolve: (end: AttemptEnd) => void = () => undefined;
-  #body = "";
-
-  constructor() {
-    super();
-    this.ended = new Promise((resolve) => {
-      this.#resolve = resolve;
-    });
-  }
-
-  override receiveHead(): void {
-    return;
-  }
-
-  override receiveChunk(_attempt: BackendAttempt, chunk: Buffer): boolean {
-    this.#body += chunk.toString("utf8");
-    return true;
-  }
-
-  override receiveEnd(_attempt: BackendAttempt, last?: Buffer): void {
-    const body = this.#body + (last?.toString("utf8") ?? "");
-    this.#resolve({ kind: "complete", body });
-  }
-
-  override receiveFailure(
-    _attempt: BackendAttempt,
-    { outcome }: AttemptFailure,
-  ): void {
-    this.#resolve({ kind: "failed", outcome });
-  }
-}
-
-type Answer = (socket: net.Socket) => void;
-
-// Sends one request for each answer, the next one after the end of the last.
-async function sendInTurn(
-  answers: readonly Answer[],
-): Promise<readonly AttemptEnd[]> {
-  let received = 0;
-  const server = net.createServer((socket) => {
-    socket.on("error", () => undefined);
-    socket.on("data", () => {
-      answers[received]?.(socket);
-      received += 1;
-    });
-  });
-  await new Promise<void>((resolve) => {
-    server.listen(0, "127.0.0.1", resolve);
-  });
-  const { port } = server.address() as net.AddressInfo;
-  const clock = new SystemClock();
-  const pool = new BackendConnectionPool(clock);
-  const ends: AttemptEnd[] = [];
-  for (const index of answers.keys()) {
-    const listener = new EndListener();
-    const attempt = new BackendAttempt(
-      {
-        method: "GET",
-        target: "/",
-        headers: [],
-        body: undefined,
-        identity: {
-          id: String(index),
-          readId: ({ id }) => id?.toString(),
-          isAlwaysNamed: false,
-        },
-        isProven: () => true,
-        mayEndWithConnection: true,
-        mayDispatch: undefined,
-      },
-      pool.acquire({ host: "127.0.0.1", port }),
-      { clock, listener },
-    );
-    attempt.start();
-    ends.push(await listener.ended);
-  }
-  await pool.close();
-  await new Promise((resolve) => server.close(resolve));
-  expect(received).toBe(answers.length);
-  return ends;
-}
-
-async function sendTo(answer: Answer): Promise<AttemptEnd | undefined> {
-  const [end] = await sendInTurn([answer]);
-  return end;
-}
-
 const MAX_ENDLESS_BYTES = 50_000_000;
 const FILLER = "x".repeat(16_384);
 const CHUNKED_HEAD = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
@@ -255,7 +161,7 @@
 // same connection comes before it or in one packet with it.
 describe("BackendAttempt behind a copy of an earlier answer", () => {
   it("fails if the server breaks off before the body, whatever the copy had", async () => {
-    const [, end] = await sendInTurn([
+    const { ends: [, end] } = await sendInTurn([
       (socket): void => {
         socket.write(EARLIER);
       },
@@ -267,7 +173,7 @@
   });
 
   it.each(REPEATED_ANSWERS)("ends truly: $name", async ({ packets, end }) => {
-    const ends = await sendInTurn([
+    const { ends } = await sendInTurn([
       (socket): void => {
         socket.write(EARLIER);
       },
