--- a/packages/entry/src/serving/attempt_connection.ts
+++ b/packages/entry/src/serving/attempt_connection.ts
@@ -1,7 +1,7 @@
 /** Chooses the connection for an attempt. */
 
 import type { Placement } from "../ports/server_router.ts";
-import type { BackendConnection } from "./backend_connection_pool.ts";
+import type { BackendConnection } from "./backend_connection.ts";
 import type { SeriesDependencies } from "./response_receiver.ts";
 
 /**
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -15,7 +15,7 @@
   findResponseOwner,
   RESPONSE_OWNER,
 } from "./attempt_message.ts";
-import type { BackendConnection } from "./backend_connection_pool.ts";
+import type { BackendConnection } from "./backend_connection.ts";
 import {
   checkResponseFraming,
   computeMaxResponseBytes,
--- /dev/null
+++ b/packages/entry/src/serving/backend_connection.ts
@@ -0,0 +1,161 @@
+/** A connection to a backend server, with one request at a time. */
+
+import type { Socket } from "node:net";
+
+import type { Client, Dispatcher } from "undici";
+
+/** Earlier requests of a connection of which a copy of the response is expected. */
+const MAX_ANSWERED_IDS = 8;
+/** A response that is read and left, and the one behind it. */
+const RECEIVED_AT_ONCE = 2;
+/** Message of undici's error for a response to no request. */
+const UNSOLICITED_RESPONSE_MESSAGE = "bad response";
+/** Prefix of the error codes of undici's HTTP parser. */
+const PARSER_CODE_PREFIX = "HPE_";
+/** Prefix of the error codes of undici itself. */
+const CLIENT_CODE_PREFIX = "UND_ERR_";
+
+/**
+ * One connection of the pool. It is destroyed after a request that did not end
+ * with a complete response.
+ */
+export class BackendConnection {
+  readonly address: string;
+  readonly client: Client;
+  /** Undefined until the connection has been established. */
+  socket: Socket | undefined;
+  /** Called when bytes have arrived that are not parsed yet. */
+  dataListener: (() => void) | undefined;
+  /** Number of requests that this connection has completed. */
+  servedCount = 0;
+  /** Identifiers of the last of these requests, the oldest first. */
+  answeredIds: readonly string[] = [];
+  /** True if the connection sends no further request. */
+  #isReceivingOnly = false;
+  /** Monotonic time of the last release, in milliseconds. */
+  idleSinceMs = 0;
+  readonly #release: (connection: BackendConnection) => void;
+
+  /**
+   * Prepares a connection, which is opened by its first request.
+   *
+   * @param address - address of the server
+   * @param client - HTTP client that owns the socket
+   * @param release - returns the connection to its pool
+   */
+  constructor(
+    address: string,
+    client: Client,
+    release: (connection: BackendConnection) => void,
+  ) {
+    this.address = address;
+    this.client = client;
+    this.#release = release;
+  }
+
+  /**
+   * Bytes received over this connection, whatever they belong to.
+   *
+   * @returns number of bytes; 0 until it has been established
+   */
+  get bytesRead(): number {
+    return this.socket?.bytesRead ?? 0;
+  }
+
+  /**
+   * Returns the connection to its pool after a complete response.
+   *
+   * @param id - identifier of the request that was answered
+   * @param nowMs - monotonic time, in milliseconds
+   */
+  release(id: string, nowMs: number): void {
+    this.servedCount += 1;
+    this.answeredIds = [...this.answeredIds, id].slice(-MAX_ANSWERED_IDS);
+    this.idleSinceMs = nowMs;
+    this.#release(this);
+  }
+
+  /**
+   * Checks whether the server sent bytes that belong to no request.
+   *
+   * @returns true if the HTTP client closed the connection for this reason
+   */
+  hasUnsolicitedBytes(): boolean {
+    const error: NodeJS.ErrnoException | null = this.socket?.errored ?? null;
+    return error !== null && (error.message === UNSOLICITED_RESPONSE_MESSAGE ||
+      error.code?.startsWith(PARSER_CODE_PREFIX) === true);
+  }
+
+  /**
+   * Checks whether the connection was reset. The HTTP client reports a response
+   * without an explicit length as complete even if its connection was reset.
+   *
+   * @returns true if the connection was not closed in an orderly way
+   */
+  hasBeenReset(): boolean {
+    const error: NodeJS.ErrnoException | null = this.socket?.errored ?? null;
+    // The HTTP client also destroys finished connections, with an error of its
+    // own.
+    return error !== null &&
+      error.code?.startsWith(CLIENT_CODE_PREFIX) !== true;
+  }
+
+  /**
+   * Checks whether the connection still has a peer. After data and a reset that
+   * are read together, the event loop reports an orderly end. A connection that
+   * the server closed in an orderly way keeps its peer until this side closes it.
+   *
+   * @returns false if the connection was reset; only meaningful at its end
+   */
+  hasPeer(): boolean {
+    return this.socket?.remoteAddress !== undefined;
+  }
+
+  /**
+   * Whether the connection only receives, since `receiveNext` was called.
+   *
+   * @returns true if it sends no further request
+   */
+  get isReceivingOnly(): boolean {
+    return this.#isReceivingOnly;
+  }
+
+  /**
+   * Receives one more response behind the one that is being received, also if both
+   * came in one packet. The connection sends no request afterwards.
+   *
+   * @param handler - receives the response; its `onRequestStart` must call
+   * `dropWrites`
+   * @returns false if the connection is closed
+   */
+  receiveNext(handler: Dispatcher.DispatchHandler): boolean {
+    if (this.socket === undefined || this.socket.destroyed) {
+      return false;
+    }
+    this.#isReceivingOnly = true;
+    // The HTTP client has no call that only receives: it takes a response only if
+    // a request waits for it.
+    this.client.pipelining = RECEIVED_AT_ONCE;
+    try {
+      this.client.dispatch(
+        { method: "GET", path: "/", idempotent: true, blocking: false },
+        handler,
+      );
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  /** Drops whatever is written to the socket from now on. */
+  dropWrites(): void {
+    if (this.socket !== undefined) {
+      this.socket.write = (): boolean => true;
+    }
+  }
+
+  /** Destroys the socket and aborts the request that uses it. */
+  abort(): void {
+    this.client.destroy().catch(() => undefined);
+  }
+}
