fix: the end of a connection whose caller stalls ends no process

What callers saw: a process that ends by an assertion that nobody catches, and with it every request in flight, where a server ends or resets an answer while its caller reads slowly; or a whole answer told as cut.

Cause: a slow caller paused the parser of the HTTP client, which finishes the parser at the end of the connection and asserts that it is not paused.

Change: the parser is never paused. While a caller stalls, the socket gives nothing to read; what arrives stays in its buffer, which stops at its own limit, and the end of the connection is seen behind it. What the client has read already is delivered at once, up to one read of that buffer.

Ruled out: a handler of uncaught exceptions (the client's state is broken after the assertion: its destroy never completes).

Evidence: stalled_caller_test, 19 of 72 red before; all 72 pass, with the 21 of backend_attempt_test. It covers ends and resets midway and at the end, cancellation, and the connection's next requests.

--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -35,7 +35,6 @@
   readonly #clock: Clock;
   readonly #listener: AttemptListener;
   readonly #wasConnectionReused: boolean;
-  #controller: Dispatcher.DispatchController | undefined;
   #startedAtMs = 0;
   #sentAtMs: number | undefined;
   #firstByteAtMs: number | undefined;
@@ -135,7 +134,7 @@
   /** Continues a response that the listener has paused. */
   resume(): void {
     if (!this.#isFinished) {
-      this.#controller?.resume();
+      this.#connection.resumeReading();
     }
   }
 
@@ -162,7 +161,7 @@
   /**
    * Called by the HTTP client before it sends the first byte.
    *
-   * @param controller - pauses, resumes or aborts the exchange
+   * @param controller - aborts the exchange
    */
   handleRequestStart(controller: Dispatcher.DispatchController): void {
     if (this.#isFinished) {
@@ -171,7 +170,6 @@
     }
     if (this.#isReceivingNext) {
       this.#connection.dropWrites();
-      this.#controller = controller;
       return;
     }
     if (this.#sentAtMs !== undefined) {
@@ -189,7 +187,6 @@
       controller.abort(new Error("idempotency claim does not allow dispatch"));
       return;
     }
-    this.#controller = controller;
     this.#bytesReadBefore = this.#connection.bytesRead;
     this.#connection.dataListener = (): void => {
       this.#checkFraming();
@@ -378,7 +375,7 @@
 
   #deliver(chunk: Buffer): void {
     if (!this.#listener.receiveChunk(this, chunk)) {
-      this.#controller?.pause();
+      this.#connection.stopReading();
     }
   }
 
--- a/packages/entry/src/serving/backend_connection.ts
+++ b/packages/entry/src/serving/backend_connection.ts
@@ -32,6 +32,7 @@
   answeredIds: readonly string[] = [];
   /** True if the connection sends no further request. */
   #isReceivingOnly = false;
+  #isReadingStopped = false;
   /** Monotonic time of the last release, in milliseconds. */
   idleSinceMs = 0;
   readonly #release: (connection: BackendConnection) => void;
@@ -69,6 +70,7 @@
    * @param nowMs - monotonic time, in milliseconds
    */
   release(id: string, nowMs: number): void {
+    this.resumeReading();
     this.servedCount += 1;
     this.answeredIds = [...this.answeredIds, id].slice(-MAX_ANSWERED_IDS);
     this.idleSinceMs = nowMs;
@@ -147,6 +149,35 @@
     }
   }
 
+  /**
+   * Leaves what arrives in the socket's buffer until `resumeReading`, and the end of
+   * the connection behind it. The HTTP client's own pause must not be used: if the
+   * connection ends meanwhile, an assertion of its parser fails.
+   */
+  stopReading(): void {
+    if (this.socket !== undefined && !this.#isReadingStopped) {
+      this.#isReadingStopped = true;
+      this.socket.read = (): null => null;
+    }
+  }
+
+  /** Lets the HTTP client read again what it may not since `stopReading`. */
+  resumeReading(): void {
+    const { socket } = this;
+    if (socket === undefined || !this.#isReadingStopped) {
+      return;
+    }
+    this.#isReadingStopped = false;
+    // Uncovers the method of the prototype.
+    Reflect.deleteProperty(socket, "read");
+    // The caller may be within the parser, which cannot be entered twice.
+    process.nextTick(() => {
+      if (!socket.destroyed) {
+        socket.emit("readable");
+      }
+    });
+  }
+
   /** Drops whatever is written to the socket from now on. */
   dropWrites(): void {
     if (this.socket !== undefined) {
