--- a/packages/entry/src/serving/unsized_body.ts
+++ b/packages/entry/src/serving/unsized_body.ts
@@ -1,7 +1,7 @@
 /** Decides whether a body that ends with its connection is whole. */
 
 import type { AttemptRequest } from "./attempt_message.ts";
-import type { BackendConnection } from "./backend_connection_pool.ts";
+import type { BackendConnection } from "./backend_connection.ts";
 import { SecondResponseDetector } from "./second_response_detector.ts";
 
 /**
