fix: refuse requests before the memory of a VM ends

What callers saw: with some thousand requests open at one VM its process ended for want of heap; all its requests were lost and its peers, ready address and directory went with it.

Cause: the VM took every request that it could read. Only bodies had a limit (64 MiB), which is as large as the whole heap of the deploy file.

Ruled out: bodies and buffered answers as the reason.

Change: a budget of held bytes, a share of V8's heap limit. Counted are connections, requests with one attempt, heads, bodies, buffered answers and what slow callers have not taken. A request without room is refused as not run (503, vm-busy, Retry-After) before anything is done for it, and its connection is closed. Answers are delivered; over the limit they are passed on as they come instead of being buffered. Metrics: held_bytes, held_bytes_limit, memory_refusals_total.

Evidence: held_memory_test sends 8,000 requests (bodies of 2 kB, 20 slow callers of 12 MB) to the bundle with the flags of the deploy file.

--- a/packages/entry/src/command/fleet_command.ts
+++ b/packages/entry/src/command/fleet_command.ts
@@ -1,6 +1,7 @@
 /** The `fleet` command: runs one VM that uses the platform's store. */
 
 import { randomInt } from "node:crypto";
+import { getHeapStatistics } from "node:v8";
 
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 import { Command, Option } from "clipanion";
@@ -80,7 +81,13 @@
   });
   try {
     const random = new SeededRandomSource(randomInt(SEED_RANGE));
-    const vm = new FleetVm(settings, { clock, random, log, metrics });
+    const vm = new FleetVm(settings, {
+      clock,
+      random,
+      log,
+      metrics,
+      heapLimitBytes: getHeapStatistics().heap_size_limit,
+    });
     await vm.start();
     await stopRequested;
     setTimeout(() => {
--- a/packages/entry/src/fleet/fleet_caller_server.ts
+++ b/packages/entry/src/fleet/fleet_caller_server.ts
@@ -5,6 +5,7 @@
 
 import { PlatformDialect } from "../dialect/platform_dialect.ts";
 import { CallerServer } from "../http/caller_server.ts";
+import { computeHeldLimitBytes } from "../serving/memory_budget.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { FleetDecisionLog } from "./fleet_decision_log.ts";
@@ -38,6 +39,8 @@
   readonly random: RandomSource;
   readonly log: FleetLog;
   readonly metrics: PrometheusMetrics;
+  /** Size up to which the heap of the process may grow. */
+  readonly heapLimitBytes: number;
 }
 
 /**
@@ -49,7 +52,7 @@
  */
 export function createFleetCallerServer(
   { self, revocationMs }: FleetSettings,
-  { state, limiter, log, ...parts }: FleetCallerServerParts,
+  { state, limiter, log, heapLimitBytes, ...parts }: FleetCallerServerParts,
 ): CallerServer {
   const server = new CallerServer({
     ...parts,
@@ -65,6 +68,7 @@
   }, {
     address: self.callerAddress,
     maxHeaderBytes: PARSER_HEADER_BYTES,
+    heldBytes: computeHeldLimitBytes(heapLimitBytes),
   });
   state.subscribe(() => {
     const limits = state.active?.configuration.callerLimits;
--- a/packages/entry/src/fleet/fleet_gauges.ts
+++ b/packages/entry/src/fleet/fleet_gauges.ts
@@ -3,6 +3,7 @@
 import { SERVER_STATE } from "@limpetford/domain/service";
 import type { StoreClient } from "@limpetford/platform/store/store_client";
 
+import type { CallerServer } from "../http/caller_server.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
@@ -20,7 +21,7 @@
   readonly limits: ServerRateLimits;
   readonly client: StoreClient;
   readonly loop: EventLoopMonitor;
-  readonly countInFlight: () => number;
+  readonly callerServer: CallerServer;
 }
 
 /**
@@ -33,7 +34,7 @@
   metrics: PrometheusMetrics,
   sources: FleetGaugeSources,
 ): void {
-  const { state, peers, balancers, limits, client, loop, countInFlight } =
+  const { state, peers, balancers, limits, client, loop, callerServer } =
     sources;
   metrics.addGauge(
     "loop_delay_seconds",
@@ -68,7 +69,17 @@
   metrics.addGauge(
     "in_flight_requests",
     "requests that have not ended",
-    countInFlight,
+    () => callerServer.inFlight,
+  );
+  metrics.addGauge(
+    "held_bytes",
+    "memory that open requests and connections of callers hold, estimated",
+    () => callerServer.memory.heldBytes,
+  );
+  metrics.addGauge(
+    "held_bytes_limit",
+    "held memory above which requests are refused",
+    () => callerServer.memory.limitBytes,
   );
   metrics.addGauge(
     "waiting_requests",
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -59,6 +59,8 @@
   readonly random: RandomSource;
   readonly log: FleetLog;
   readonly metrics: PrometheusMetrics;
+  /** Size up to which the heap of the process may grow. */
+  readonly heapLimitBytes: number;
 }
 
 /**
@@ -268,6 +270,7 @@
       random,
       log,
       metrics,
+      heapLimitBytes: dependencies.heapLimitBytes,
     });
   }
 
@@ -283,7 +286,7 @@
         limits: this.#limits,
         client: this.#client,
         loop: this.#loop,
-        countInFlight: () => this.#callerServer.inFlight,
+        callerServer: this.#callerServer,
       });
       this.#crashes.addGauges(this.#dependencies.metrics);
       await this.#dependencies.metrics.start(metricsAddress);
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -18,13 +18,14 @@
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import { BackendConnectionPool } from "../serving/backend_connection_pool.ts";
 import { CallerExchange } from "../serving/caller_exchange.ts";
+import type { MemoryBudget } from "../serving/memory_budget.ts";
 import type { RequestExplanation } from "../serving/request_explanations.ts";
+import { trackConnection } from "../serving/request_memory.ts";
 import { RequestPipeline } from "../serving/request_pipeline.ts";
 import type { ServingPorts } from "../serving/serving_ports.ts";
 import { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
 import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
-import type { CallerTls } from "../vm/vm_settings.ts";
-import type { CallerServerLimits } from "./caller_server_limits.ts";
+import type { CallerServerOptions } from "./caller_server_limits.ts";
 
 const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
 const DEFAULT_REQUEST_TIMEOUT_MS = 60_000;
@@ -38,21 +39,6 @@
 const STATUS_BAD_REQUEST = 400;
 const STATUS_UNAVAILABLE = 503;
 
-/** Address, certificates and limits of the server for callers. */
-export interface CallerServerOptions extends CallerServerLimits {
-  /** Address to listen on; port 0 takes any free port. */
-  readonly address: SocketAddress;
-  /** Certificate and key; plain HTTP if absent. */
-  readonly tls?: CallerTls;
-  /**
-   * PEM certificates of the CA that signs the certificates which the other VMs
-   * present to callers; needed with `tls` to forward requests to them.
-   */
-  readonly peerAuthority?: Buffer;
-  /** Prefix of request identifiers, unique in the fleet; random by default. */
-  readonly requestIdPrefix?: string;
-}
-
 /**
  * HTTP server for callers. Assigns request identifiers, passes requests to the
  * pipeline and stops without interrupting them.
@@ -136,6 +122,15 @@
     return this.#pipeline.inFlight;
   }
 
+  /**
+   * Memory that open requests and connections hold.
+   *
+   * @returns budget with its limit
+   */
+  get memory(): Readonly<Pick<MemoryBudget, "heldBytes" | "limitBytes">> {
+    return this.#pipeline.memory;
+  }
+
   /**
    * Whether the server is draining or stopped.
    *
@@ -315,6 +310,7 @@
     server.maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
     server.on("connection", (socket: Socket) => {
       this.#acceptQueue.observeAccept(socket);
+      trackConnection(this.#pipeline.memory, socket);
     });
     server.on("request", (request, response) => {
       this.#accept(request, response);
--- a/packages/entry/src/http/caller_server_limits.ts
+++ b/packages/entry/src/http/caller_server_limits.ts
@@ -1,7 +1,10 @@
-/** Timeouts and size limits of the server for callers. */
+/** Address, timeouts and size limits of the server for callers. */
+
+import type { SocketAddress } from "@limpetford/domain/vm";
 
 import type { BackendConnectionOptions } from "../serving/backend_connection_pool.ts";
-import type { PipelineOptions } from "../serving/request_pipeline.ts";
+import type { PipelineOptions } from "../serving/pipeline_options.ts";
+import type { CallerTls } from "../vm/vm_settings.ts";
 
 /** Limits of callers' connections, requests and responses. */
 export interface CallerServerLimits extends PipelineOptions {
@@ -23,3 +26,18 @@
   /** Limits of connections to backend servers. */
   readonly backend?: BackendConnectionOptions;
 }
+
+/** Address, certificates and limits of the server for callers. */
+export interface CallerServerOptions extends CallerServerLimits {
+  /** Address to listen on; port 0 takes any free port. */
+  readonly address: SocketAddress;
+  /** Certificate and key; plain HTTP if absent. */
+  readonly tls?: CallerTls;
+  /**
+   * PEM certificates of the CA that signs the certificates which the other VMs
+   * present to callers; needed with `tls` to forward requests to them.
+   */
+  readonly peerAuthority?: Buffer;
+  /** Prefix of request identifiers, unique in the fleet; random by default. */
+  readonly requestIdPrefix?: string;
+}
--- a/packages/entry/src/serving/admitted_exchange.ts
+++ b/packages/entry/src/serving/admitted_exchange.ts
@@ -8,16 +8,22 @@
 import type { HopSpan } from "../telemetry/span_recorder.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import { hasCallerKey, type PresentedKey } from "./caller_key.ts";
+import type { MemoryShare } from "./memory_budget.ts";
 import { refuseNotRun } from "./refusal.ts";
 import type { Admission } from "./request_admission.ts";
 import type { RequestRecord } from "./request_explanations.ts";
 import { computeRepeatFingerprint } from "./request_fingerprint.ts";
 import type { OutboundRequest } from "./response_receiver.ts";
 
-/** An admitted request with the caller's exchange, its record and its span. */
-export interface AdmittedExchange extends Admission {
+/** A caller's exchange with its record and its share of the VM's memory. */
+export interface OpenedExchange {
   readonly exchange: CallerExchange;
   readonly record: RequestRecord;
+  readonly memory: MemoryShare;
+}
+
+/** An admitted request with the caller's exchange and its span. */
+export interface AdmittedExchange extends Admission, OpenedExchange {
   /** Trace span of this hop; undefined if tracing is off. */
   readonly span: HopSpan | undefined;
 }
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -87,7 +87,7 @@
     this.#dependencies = dependencies;
     this.#attempts = new AttemptCounter(request.context.terms);
     this.#request = request;
-    this.#receiver = buildBufferedReceiver(receiver, dependencies.dialect);
+    this.#receiver = buildBufferedReceiver(receiver, dependencies);
   }
 
   /**
--- a/packages/entry/src/serving/buffering_receiver.ts
+++ b/packages/entry/src/serving/buffering_receiver.ts
@@ -2,16 +2,19 @@
 
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import type { ResponseHead } from "./attempt_listener.ts";
+import type { MemoryShare } from "./memory_budget.ts";
 import type { Refusal } from "./refusal.ts";
 import { ResponseReceiver } from "./response_receiver.ts";
 
 /**
  * Buffers a response up to a number of bytes. As long as nothing has been
  * forwarded, a truncated response can be replaced by that of another attempt.
+ * Nothing more is buffered while the VM holds more than it may.
  */
 export class BufferingReceiver extends ResponseReceiver {
   readonly #receiver: ResponseReceiver;
   readonly #limitBytes: number;
+  readonly #share: MemoryShare;
   #head: ResponseHead | undefined;
   #chunks: Buffer[] = [];
   #bufferedBytes = 0;
@@ -21,9 +24,15 @@
    *
    * @param receiver - receives the response after it has been buffered
    * @param limitBytes - maximum size of the buffered body
+   * @param share - share of the request, which the buffered body counts for
    */
-  constructor(receiver: ResponseReceiver, limitBytes: number) {
+  constructor(
+    receiver: ResponseReceiver,
+    limitBytes: number,
+    share: MemoryShare,
+  ) {
     super();
+    this.#share = share;
     this.#receiver = receiver;
     this.#limitBytes = limitBytes;
   }
@@ -38,7 +47,10 @@
     }
     this.#chunks.push(chunk);
     this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes <= this.#limitBytes) {
+    this.#share.add(chunk.length);
+    if (
+      this.#bufferedBytes <= this.#limitBytes && !this.#share.isBudgetExceeded
+    ) {
       return true;
     }
     this.#receiver.receiveHead(this.#head);
@@ -54,6 +66,7 @@
     if (last !== undefined) {
       this.#chunks.push(last);
       this.#bufferedBytes += last.length;
+      this.#share.add(last.length);
     }
     this.#receiver.receiveHead(this.#head);
     const body = this.#takeBuffer();
@@ -78,6 +91,7 @@
     const body = Buffer.concat(this.#chunks);
     this.#head = undefined;
     this.#chunks = [];
+    this.#share.add(-this.#bufferedBytes);
     this.#bufferedBytes = 0;
     return body;
   }
@@ -87,14 +101,19 @@
  * Puts a buffer before a receiver, if the dialect asks for one.
  *
  * @param receiver - receives the response
- * @param dialect - names the size of the buffered body; 0 for no buffer
+ * @param dependencies - dialect, which names the size of the buffered body (0 for
+ * no buffer), and the share of the request
  * @returns the receiver to use in its place
  */
 export function buildBufferedReceiver(
   receiver: ResponseReceiver,
-  { bufferedResponseBytes }: Pick<ServingDialect, "bufferedResponseBytes">,
+  { dialect, memory }: {
+    readonly dialect: Pick<ServingDialect, "bufferedResponseBytes">;
+    readonly memory: MemoryShare;
+  },
 ): ResponseReceiver {
+  const { bufferedResponseBytes } = dialect;
   return bufferedResponseBytes > 0
-    ? new BufferingReceiver(receiver, bufferedResponseBytes)
+    ? new BufferingReceiver(receiver, bufferedResponseBytes, memory)
     : receiver;
 }
--- a/packages/entry/src/serving/claimed_request_handler.ts
+++ b/packages/entry/src/serving/claimed_request_handler.ts
@@ -79,6 +79,7 @@
       limitBytes: context.route.bodyLimitBytes,
       timeoutMs: this.#readRemainingMs(admitted),
       budget: this.#options.bodyBudget,
+      memory: admitted.memory,
     });
     if (!body.ok) {
       exchange.refuse(body.error);
@@ -175,6 +176,7 @@
           connections: this.#options.connections.backend,
           peerConnections: this.#options.connections.peer,
           arrivals: this.#options.arrivals,
+          memory: admitted.memory,
         },
         {
           ...buildOutboundRequest(admitted, body, this.#options.dialect),
--- a/packages/entry/src/serving/request_body.ts
+++ b/packages/entry/src/serving/request_body.ts
@@ -4,8 +4,14 @@
 
 import { makeError, makeOk, type Result } from "@limpetford/domain/result";
 
+import type { MemoryShare } from "./memory_budget.ts";
 import { type Refusal, refuseNotRun } from "./refusal.ts";
 
+/** Memory of a chunk of a body besides its bytes. */
+const CHUNK_OVERHEAD_BYTES = 256;
+/** Chunks of a body that do not count besides their bytes. */
+const UNCOUNTED_CHUNKS = 8;
+
 /** Limits the memory that buffered request bodies take on one VM. */
 export class BodyBudget {
   readonly #limitBytes: number;
@@ -68,6 +74,8 @@
   /** Time until the body must be complete, in milliseconds. */
   readonly timeoutMs: number;
   readonly budget: BodyBudget;
+  /** Share of the request, which counts the body already if its length is known. */
+  readonly memory: MemoryShare;
 }
 
 /** Result for a request without a body. */
@@ -108,7 +116,7 @@
   request: IncomingMessage,
   options: BodyReadOptions,
 ): Promise<Result<BufferedBody, Refusal>> {
-  const { limitBytes, budget } = options;
+  const { limitBytes, budget, memory } = options;
   const announced = readBodyLength(request);
   if (announced !== undefined && announced > limitBytes) {
     return Promise.resolve(makeError(refuseNotRun("body-too-large")));
@@ -125,10 +133,17 @@
     }, options.timeoutMs);
     const handleChunk = (chunk: Buffer): void => {
       receivedBytes += chunk.length;
-      const unreservedBytes = receivedBytes - reservedBytes;
+      const unreservedBytes = Math.max(0, receivedBytes - reservedBytes);
+      const overheadBytes = chunks.length < UNCOUNTED_CHUNKS
+        ? 0
+        : CHUNK_OVERHEAD_BYTES;
+      const extraBytes = unreservedBytes + overheadBytes;
       if (receivedBytes > limitBytes) {
         complete("body-too-large");
-      } else if (unreservedBytes > 0 && !budget.reserve(unreservedBytes)) {
+      } else if (
+        extraBytes > 0 &&
+        (!memory.reserve(extraBytes) || !budget.reserve(unreservedBytes))
+      ) {
         complete("vm-busy");
       } else {
         reservedBytes = Math.max(reservedBytes, receivedBytes);
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -11,6 +11,7 @@
 import {
   type AdmittedExchange,
   buildOutboundRequest,
+  type OpenedExchange,
   readTraceparent,
   refuseOverRate,
 } from "./admitted_exchange.ts";
@@ -20,6 +21,13 @@
 import type { CallerExchange } from "./caller_exchange.ts";
 import { ClaimedRequestHandler } from "./claimed_request_handler.ts";
 import { ExchangeReceiver } from "./exchange_receiver.ts";
+import { MemoryBudget, type MemoryShare } from "./memory_budget.ts";
+import {
+  DEFAULT_BODY_BUDGET_BYTES,
+  DEFAULT_STORED_RESPONSE_BYTES,
+  DEFAULT_STREAM_ABOVE_BYTES,
+  type PipelineOptions,
+} from "./pipeline_options.ts";
 import { refuseNotRun } from "./refusal.ts";
 import type { Admission } from "./request_admission.ts";
 import {
@@ -31,32 +39,18 @@
   readBodyLength,
 } from "./request_body.ts";
 import { RequestExplanations, RequestRecord } from "./request_explanations.ts";
+import { openMemoryShare, UnsentBytesReceiver } from "./request_memory.ts";
 import type { OutboundRequest } from "./response_receiver.ts";
 import type { ServingPorts } from "./serving_ports.ts";
 
-const DEFAULT_BODY_BUDGET_BYTES = 67_108_864;
-const DEFAULT_STREAM_ABOVE_BYTES = 65_536;
-const DEFAULT_STORED_RESPONSE_BYTES = 65_536;
-
-/** Memory limits of serving requests. */
-export interface PipelineOptions {
-  /** Memory for all buffered request bodies, in bytes; default 64 MiB. */
-  readonly bodyBudgetBytes?: number;
-  /**
-   * Size in bytes above which request bodies are streamed instead of buffered
-   * on idempotent routes; default 64 KiB.
-   */
-  readonly streamAboveBytes?: number;
-  /** Maximum response body kept for replay, in bytes; default 64 KiB. */
-  readonly keptAnswerBytes?: number;
-}
-
 /**
  * Serves requests: admits them, takes a token from the rate limiter, claims
  * those that are not idempotent, and sends them to backend servers.
  */
 export class RequestPipeline {
   readonly explanations = new RequestExplanations();
+  /** What open requests and connections hold. */
+  readonly memory: MemoryBudget;
   readonly #ports: ServingPorts;
   readonly #dialect: ServingDialect;
   readonly #connections: BackendConnectionPool;
@@ -100,6 +94,7 @@
     this.#bodyBudget = new BodyBudget(
       options.bodyBudgetBytes ?? DEFAULT_BODY_BUDGET_BYTES,
     );
+    this.memory = new MemoryBudget(options.heldBytes ?? Infinity);
     this.#streamAboveBytes = options.streamAboveBytes ??
       DEFAULT_STREAM_ABOVE_BYTES;
     this.#claimedHandler = new ClaimedRequestHandler({
@@ -149,24 +144,50 @@
   }
 
   /**
-   * Serves a request that was read, unless its caller leaves before its turn.
+   * Serves a request that was read, unless its caller leaves before its turn or
+   * this VM has no memory for it.
    *
    * @param exchange - exchange of the caller
    */
   accept(exchange: CallerExchange): void {
     this.#inFlight += 1;
+    const memory = openMemoryShare(this.memory, exchange);
+    if (memory === undefined) {
+      this.#refuseForMemory(exchange);
+      return;
+    }
+    const closed = new Promise((resolve) => {
+      exchange.response.once("close", resolve);
+    });
     this.#arrivals.begin(() => {
-      void this.#serve(exchange);
+      // A slow caller's response is held until its connection has taken it.
+      void this.#serve(exchange, memory).then(() => closed).then(() => {
+        memory.close();
+      });
     });
   }
 
-  // Serves one request until it has ended; never rejects.
-  async #serve(exchange: CallerExchange): Promise<void> {
+  #refuseForMemory(exchange: CallerExchange): void {
+    const record = this.#addRecord(exchange);
+    // The connection holds memory as well. Those of other VMs are few.
+    exchange.response.shouldKeepAlive &&= exchange.forwarding !== undefined;
+    exchange.refuse(refuseNotRun("vm-busy"));
+    this.#ports.metrics?.count("memory_refusals");
+    this.#complete(exchange, record);
+  }
+
+  #addRecord(exchange: CallerExchange): RequestRecord {
     const record = new RequestRecord(
       exchange.id,
       this.#ports.clock.readWallMs(),
     );
     this.explanations.add(record);
+    return record;
+  }
+
+  // Serves one request until it has ended; never rejects.
+  async #serve(exchange: CallerExchange, memory: MemoryShare): Promise<void> {
+    const record = this.#addRecord(exchange);
     if (exchange.isCallerDisconnected) {
       this.#complete(exchange, record);
       return;
@@ -174,7 +195,10 @@
     try {
       const admission = this.#dialect.admit(exchange.request, exchange);
       if (admission.ok) {
-        await this.#serveAdmitted(exchange, record, admission.value);
+        await this.#serveAdmitted(
+          { exchange, record, memory },
+          admission.value,
+        );
       } else {
         exchange.refuse(admission.error);
       }
@@ -189,15 +213,14 @@
   }
 
   async #serveAdmitted(
-    exchange: CallerExchange,
-    record: RequestRecord,
+    { exchange, record, memory }: OpenedExchange,
     { context, key }: Admission,
   ): Promise<void> {
     record.route = context.route.id;
     record.team = context.team;
     record.isPassedOn = context.isPassedOn;
     const span = this.#openSpan(exchange, { context, key });
-    const admitted = { context, key, exchange, record, span };
+    const admitted = { context, key, exchange, record, span, memory };
     try {
       if (context.team !== undefined && this.#dialect.isClaimed(context)) {
         await this.#claimedHandler.serve(admitted, context.team);
@@ -282,6 +305,7 @@
       limitBytes: context.route.bodyLimitBytes,
       timeoutMs: context.deadlineAtMs - this.#ports.clock.readMonotonicMs(),
       budget: this.#bodyBudget,
+      memory: admitted.memory,
     });
     if (!body.ok) {
       exchange.refuse(body.error);
@@ -306,11 +330,16 @@
     }
     return new Promise((resolve) => {
       const request = buildOutboundRequest(admitted, body, this.#dialect);
-      const receiver = new ExchangeReceiver(exchange, () => {
+      const writer = new ExchangeReceiver(exchange, () => {
         clearTimeout(timer);
-        admitted.record.status = receiver.status;
+        admitted.record.status = writer.status;
         resolve();
       });
+      const receiver = new UnsentBytesReceiver(
+        writer,
+        exchange,
+        admitted.memory,
+      );
       const series = new AttemptSeries(
         {
           ports: this.#ports,
@@ -318,6 +347,7 @@
           connections: this.#connections,
           peerConnections: this.#peerConnections,
           arrivals: this.#arrivals,
+          memory: admitted.memory,
         },
         request,
         receiver,
@@ -334,6 +364,7 @@
         series.cancel();
       });
       exchange.writer.setDrainListener(() => {
+        receiver.update();
         series.resume();
       });
       series.start();
--- a/packages/entry/src/serving/response_receiver.ts
+++ b/packages/entry/src/serving/response_receiver.ts
@@ -7,6 +7,7 @@
 import type { ArrivalQueue } from "./arrival_queue.ts";
 import type { ResponseHead } from "./attempt_listener.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
+import type { MemoryShare } from "./memory_budget.ts";
 import type { Refusal } from "./refusal.ts";
 import type { RequestRecord } from "./request_explanations.ts";
 import type { ServingPorts } from "./serving_ports.ts";
@@ -70,6 +71,8 @@
   readonly peerConnections: BackendConnectionPool;
   /** Delays attempts while callers may have left unnoticed, and timeouts. */
   readonly arrivals: ArrivalQueue;
+  /** What the request holds of the VM's memory. */
+  readonly memory: MemoryShare;
 }
 
 /**
--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -29,6 +29,8 @@
 const READY_PORT = 18_002;
 const DIRECTORY_PORT = 18_003;
 const PEER_PORT = 18_004;
+/** Port of every VM for its metrics. */
+export const METRICS_PORT = 18_005;
 /** Time within which a process must exit after SIGTERM, in seconds. */
 export const GRACE_PERIOD_SECONDS = 4;
 const POLL_MS = 50;
@@ -40,6 +42,8 @@
 export interface FleetProcessesOptions {
   /** Lowest severity that the processes log. */
   readonly logLevel: "error" | "warn" | "info" | "debug";
+  /** Flags of Node for all processes; none by default. */
+  readonly nodeFlags?: readonly string[];
 }
 
 /** Starts, queries and stops the processes of a fleet and its stand-ins. */
@@ -338,6 +342,7 @@
       cores: this.#cores[this.vms.length] ?? 1,
       settingsPath,
       storeAddress,
+      nodeFlags: this.#options.nodeFlags ?? [],
     });
     await this.#writeSettings(handle, { isFirstStart: true });
     handle.start();
@@ -357,6 +362,7 @@
           ready: `${vm.host}:${READY_PORT}`,
           directory: `${vm.host}:${DIRECTORY_PORT}`,
           peer: `${vm.host}:${PEER_PORT}`,
+          metrics: `${vm.host}:${METRICS_PORT}`,
         },
         store: formatAddress(vm.storeAddress),
         seeds: this.#seeds,
--- /dev/null
+++ b/packages/standins/src/fleet/held_memory_test.ts
@@ -0,0 +1,235 @@
+import { execFileSync } from "node:child_process";
+import { readFileSync } from "node:fs";
+
+import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
+import { waitMs } from "../process_soak/wait_ms.ts";
+import { getVm } from "./fleet_lookup.ts";
+import {
+  CALLER_PORT,
+  FleetProcesses,
+  METRICS_PORT,
+} from "./fleet_processes.ts";
+import { type HeldCaller, openHeldCallers } from "./held_callers.ts";
+import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+
+const KEY = "key-of-dance";
+const STATUS_OK = 200;
+const STATUS_UNAVAILABLE = 503;
+const REQUEST_COUNT = 8_000;
+const USUAL_COUNT = 900;
+/** Enough to run nearly all requests that the VM takes. */
+const SERVER_COUNT = 60;
+const SLOW_COUNT = 20;
+const BODY_BYTES = 2_048;
+const SLOW_ANSWER_BYTES = 12_000_000;
+/** A slow answer fills at least the buffer before its caller's connection. */
+const LEAST_UNSENT_BYTES = 65_536;
+/** Requests must still be open when the last one has been sent. */
+const ROUTE_TIMEOUT_SECONDS = 40;
+const MS_PER_S = 1_000;
+const CONFIGURATION_MS = 2_000;
+/** Time for which the VM lives with all that it holds. */
+const HOLD_MS = 4_000;
+/** The platform asks for readiness once in this time. */
+const CONTROL_TIMEOUT_MS = 1_000;
+const CONTROL_INTERVAL_MS = 250;
+/** Memory of a VM in the users' example of its settings. */
+const MEMORY_BYTES = 350_000_000;
+const BYTES_PER_KIB = 1_024;
+const TEST_TIMEOUT_MS = 90_000;
+
+// Guards against a process that ends for want of memory because it takes every
+// request, and against requests that it refuses although they are sent.
+describe("a VM with more open requests than its memory holds", () => {
+  let fleet: FleetProcesses;
+  let callers: readonly HeldCaller[] = [];
+  beforeAll(() => {
+    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+  });
+  beforeEach(async () => {
+    fleet = new FleetProcesses({
+      logLevel: "info",
+      nodeFlags: readDeployedFlags(),
+    });
+    await fleet.start({ servers: SERVER_COUNT, zones: [2] });
+    fleet.publishNextConfiguration({ timeoutSeconds: ROUTE_TIMEOUT_SECONDS });
+    await waitMs(CONFIGURATION_MS);
+  });
+  afterEach(async () => {
+    callers.forEach((caller) => {
+      caller.close();
+    });
+    await fleet.stop();
+  });
+
+  function openCallers(
+    vm: VmProcessHandle,
+    kind: "slow" | "held",
+    count: number,
+  ): Promise<readonly HeldCaller[]> {
+    const requests = Array.from({ length: count }, (_, index) => ({
+      id: `${kind}-${index}`,
+      path: kind === "slow" ? `/read/${index}` : `/book/${index}`,
+      key: KEY,
+      body: kind === "slow" ? "" : "b".repeat(BODY_BYTES),
+      timeLeftMs: ROUTE_TIMEOUT_SECONDS * MS_PER_S,
+      isSlow: kind === "slow",
+    }));
+    return openHeldCallers({ host: vm.host, port: CALLER_PORT }, requests);
+  }
+
+  // Slow callers are answered at once; all other requests stay at the servers.
+  function startHolding(): void {
+    const body = "s".repeat(SLOW_ANSWER_BYTES);
+    for (const server of fleet.servers) {
+      server.behavior = SERVER_BEHAVIOR.hang;
+      server.chooseRawResponse = ({ target, headers }) =>
+        target.startsWith("/read/")
+          ? {
+            bytes: "HTTP/1.1 200 OK\r\nserver-signature: s\r\n" +
+              `request-id: ${String(headers["request-id"])}\r\n` +
+              `content-length: ${body.length}\r\n\r\n${body}`,
+            end: "close",
+          }
+          : undefined;
+    }
+  }
+
+  async function countControlFailures(vm: VmProcessHandle): Promise<number> {
+    let failures = 0;
+    const endAtMs = Date.now() + HOLD_MS;
+    while (Date.now() < endAtMs) {
+      const isInTime = await Promise.race([
+        Promise.all([
+          fleet.isReady(vm),
+          fleet.resolveAddresses(vm, vm.zone),
+        ]).then(([isReady, addresses]) => isReady && addresses.length > 0),
+        waitMs(CONTROL_TIMEOUT_MS).then(() => false),
+      ]);
+      failures += isInTime ? 0 : 1;
+      await waitMs(CONTROL_INTERVAL_MS);
+    }
+    return failures;
+  }
+
+  it("refuses none of hundreds", async () => {
+    const vm = getVm(fleet);
+    startHolding();
+    callers = await openCallers(vm, "held", USUAL_COUNT);
+    await fleet.waitUntil(() =>
+      callers.some(({ status }) => status !== undefined) ||
+      fleet.servers.reduce((sum, { received }) => sum + received.length, 0) >=
+        USUAL_COUNT
+    );
+    expect(callers.filter(({ status }) => status !== undefined)).toEqual([]);
+  }, TEST_TIMEOUT_MS);
+
+  it("lives, refuses the rest truly and stays in control", async () => {
+    const vm = getVm(fleet);
+    startHolding();
+    const slow = await openCallers(vm, "slow", SLOW_COUNT);
+    await fleet.waitUntil(async () =>
+      (await readMetric(vm, "held_bytes") ?? Infinity) >=
+        SLOW_COUNT * LEAST_UNSENT_BYTES
+    );
+    const held = await openCallers(vm, "held", REQUEST_COUNT - SLOW_COUNT);
+    callers = [...slow, ...held];
+    let inFlight = 0;
+    await fleet.waitUntil(async () => {
+      const answered = held.filter(({ status }) => status !== undefined);
+      inFlight = await readMetric(vm, "in_flight_requests") ?? inFlight;
+      return !vm.isRunning() || answered.length + inFlight >= held.length;
+    }, ROUTE_TIMEOUT_SECONDS * MS_PER_S);
+    const failures = await countControlFailures(vm);
+
+    expect({ end: describeEnd(vm), inFlight }).toEqual({
+      end: undefined,
+      inFlight,
+    });
+    const refused = held.filter(({ status }) => status !== undefined);
+    expect(refused.length).toBeGreaterThan(0);
+    expect(
+      refused.filter(({ status, hasRetryAfter }) =>
+        status !== STATUS_UNAVAILABLE || !hasRetryAfter
+      ),
+    ).toEqual([]);
+    expect(held.filter((caller) => isLost(caller))).toEqual([]);
+    const ran = new Set(
+      fleet.servers.flatMap(({ received }) =>
+        received.map(({ headers }) => headers["request-id"])
+      ),
+    );
+    expect(refused.filter(({ request }) => ran.has(request.id))).toEqual([]);
+    expect(failures).toBe(0);
+    const others = fleet.vms.filter((other) => other !== vm);
+    expect(others.filter(({ log }) => log.includes("peer-lost"))).toEqual([]);
+    expect(readPeakBytes(vm)).toBeLessThan(MEMORY_BYTES);
+    expect(await readMetric(vm, 'memory_refusals_total{kind=""}')).toBe(
+      refused.length,
+    );
+    const limitBytes = await readMetric(vm, "held_bytes_limit");
+    expect(await readMetric(vm, "held_bytes")).toBeLessThanOrEqual(
+      limitBytes ?? 0,
+    );
+    slow.forEach((caller) => {
+      caller.read();
+    });
+    await fleet.waitUntil(() =>
+      slow.every(({ receivedBytes, isClosed }) =>
+        isClosed || receivedBytes > SLOW_ANSWER_BYTES
+      )
+    );
+    expect(
+      slow.map(({ status, receivedBytes }) => ({
+        status,
+        isWhole: receivedBytes > SLOW_ANSWER_BYTES,
+      })),
+    ).toEqual(slow.map(() => ({ status: STATUS_OK, isWhole: true })));
+    callers.forEach((caller) => {
+      caller.close();
+    });
+    await fleet.waitUntil(async () => await readMetric(vm, "held_bytes") === 0);
+  }, TEST_TIMEOUT_MS);
+});
+
+function isLost(caller: HeldCaller): boolean {
+  return caller.isClosed && caller.status === undefined;
+}
+
+function describeEnd(vm: VmProcessHandle): string | undefined {
+  return vm.isRunning()
+    ? undefined
+    : /FATAL ERROR.*/.exec(vm.log)?.[0] ?? "ended";
+}
+
+// Node's flags in the command of the deploy file.
+function readDeployedFlags(): readonly string[] {
+  const command = /^run = "node (.*) target/m.exec(
+    readFileSync("deploy/system.toml", "utf8"),
+  )?.[1];
+  if (command === undefined) {
+    throw new Error("the deploy file has no command that runs Node");
+  }
+  return command.split(" ");
+}
+
+async function readMetric(
+  vm: VmProcessHandle,
+  name: string,
+): Promise<number | undefined> {
+  try {
+    const url = `http://${vm.host}:${METRICS_PORT}/metrics`;
+    const text = await (await fetch(url)).text();
+    const value = text.split("\n").find((line) =>
+      line.startsWith(`limpetford_${name} `)
+    )?.split(" ")[1];
+    return value === undefined ? undefined : Number(value);
+  } catch {
+    return undefined;
+  }
+}
+
+function readPeakBytes(vm: VmProcessHandle): number {
+  const status = readFileSync(`/proc/${vm.processId}/status`, "utf8");
+  return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) * BYTES_PER_KIB;
+}
--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -41,6 +41,8 @@
   readonly settingsPath: string;
   /** Address at which the process reaches the store. */
   readonly storeAddress: SocketAddress;
+  /** Flags of Node, such as the size of the heap. */
+  readonly nodeFlags: readonly string[];
 }
 
 /** The process of one VM; it may be started again after it has exited. */
@@ -54,6 +56,7 @@
   log = "";
   readonly settingsPath: string;
   readonly storeAddress: SocketAddress;
+  readonly #nodeFlags: readonly string[];
   #child: ChildProcess | undefined;
 
   /**
@@ -68,6 +71,7 @@
     this.cores = options.cores;
     this.settingsPath = options.settingsPath;
     this.storeAddress = options.storeAddress;
+    this.#nodeFlags = options.nodeFlags;
   }
 
   /**
@@ -86,6 +90,7 @@
   /** Starts the process and collects its output in `log`. */
   start(): void {
     const child = spawn(process.execPath, [
+      ...this.#nodeFlags,
       "--require",
       path.resolve(PRELOAD_PATH),
       `${BUNDLE_DIRECTORY}/limpetford.js`,
--- a/packages/standins/src/platform/published_records.ts
+++ b/packages/standins/src/platform/published_records.ts
@@ -19,6 +19,8 @@
     readonly ratePerSecond: number;
     readonly burst: number;
   };
+  /** Timeout of all routes, in seconds; default 3. */
+  readonly timeoutSeconds?: number;
 }
 
 /**
@@ -36,7 +38,7 @@
 ): void {
   const route = {
     host: "bands.example",
-    timeout_s: 3,
+    timeout_s: overrides.timeoutSeconds ?? 3,
     target_latency_s: 1,
     priority: 1,
     service: "bands",
--- a/packages/standins/src/serving/serving_harness.ts
+++ b/packages/standins/src/serving/serving_harness.ts
@@ -18,10 +18,8 @@
 import { SimpleIdempotencyLedger } from "@limpetford/entry/fakes/simple_idempotency_ledger";
 import { SimpleRateLimiter } from "@limpetford/entry/fakes/simple_rate_limiter";
 import { SimpleServerRouter } from "@limpetford/entry/fakes/simple_server_router";
-import {
-  CallerServer,
-  type CallerServerOptions,
-} from "@limpetford/entry/http/caller_server";
+import { CallerServer } from "@limpetford/entry/http/caller_server";
+import type { CallerServerOptions } from "@limpetford/entry/http/caller_server_limits";
 import { hashCallerKey } from "@limpetford/entry/serving/caller_key";
 import type { ServingPorts } from "@limpetford/entry/serving/serving_ports";
 import { SystemClock } from "@limpetford/entry/vm/system_clock";
