--- a/packages/entry/src/fleet/fleet_caller_server.ts
+++ b/packages/entry/src/fleet/fleet_caller_server.ts
@@ -5,6 +5,7 @@
 
 import { PlatformDialect } from "../dialect/platform_dialect.ts";
 import { CallerServer } from "../http/caller_server.ts";
+import { computeHeldLimitBytes } from "../serving/memory_budget.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import type { CrashGuard } from "./crash_guard.ts";
@@ -40,6 +41,8 @@
   readonly log: FleetLog;
   readonly guard: CrashGuard;
   readonly metrics: PrometheusMetrics;
+  /** Size up to which the heap of the process may grow. */
+  readonly heapLimitBytes: number;
 }
 
 /**
@@ -51,7 +54,14 @@
  */
 export function createFleetCallerServer(
   { self, revocationMs }: FleetSettings,
-  { state, limiter, log, guard, ...parts }: FleetCallerServerParts,
+  {
+    state,
+    limiter,
+    log,
+    guard,
+    heapLimitBytes,
+    ...parts
+  }: FleetCallerServerParts,
 ): CallerServer {
   const server = new CallerServer({
     ...parts,
@@ -72,6 +82,7 @@
         guard.observeIdleLost(address);
       },
     },
+    heldBytes: computeHeldLimitBytes(heapLimitBytes),
   });
   state.subscribe(() => {
     const limits = state.active?.configuration.callerLimits;
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -56,6 +56,8 @@
   readonly random: RandomSource;
   readonly log: FleetLog;
   readonly metrics: PrometheusMetrics;
+  /** Size up to which the heap of the process may grow. */
+  readonly heapLimitBytes: number;
 }
 
 /**
@@ -267,6 +269,7 @@
       random,
       log,
       metrics,
+      heapLimitBytes: dependencies.heapLimitBytes,
     });
   }
 
@@ -282,7 +285,7 @@
         limits: this.#limits,
         client: this.#client,
         loop: this.#loop,
-        countInFlight: () => this.#callerServer.inFlight,
+        callerServer: this.#callerServer,
       });
       this.#crashes.addGauges(this.#dependencies.metrics);
       await this.#dependencies.metrics.start(metricsAddress);
--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -22,13 +22,12 @@
 import { ServerStandin } from "../platform/server_standin.ts";
 import { type StoreCopy, StoreStandin } from "../platform/store_standin.ts";
 import { TcpFaultProxy } from "../platform/tcp_fault_proxy.ts";
+import { VM_BOUNDS } from "./vm_bounds.ts";
 import { VM_PORTS } from "./vm_ports.ts";
 import { type ServerLinkFault, VmProcessHandle } from "./vm_process_handle.ts";
 
 /** Port of every VM for its callers. */
 export const CALLER_PORT = VM_PORTS.caller;
-/** Time within which a process must exit after SIGTERM, in seconds. */
-export const GRACE_PERIOD_SECONDS = 4;
 const POLL_MS = 50;
 /** Time after a return of the store until the operator has written again. */
 const CONFIGURATION_REWRITE_MS = 800;
@@ -38,6 +37,8 @@
 export interface FleetProcessesOptions {
   /** Lowest severity that the processes log. */
   readonly logLevel: "error" | "warn" | "info" | "debug";
+  /** Flags of Node for all processes; none by default. */
+  readonly nodeFlags?: readonly string[];
 }
 
 /** Starts, queries and stops the processes of a fleet and its stand-ins. */
@@ -344,6 +345,7 @@
       cores: this.#cores[this.vms.length] ?? 1,
       settingsPath,
       storeAddress,
+      nodeFlags: this.#options.nodeFlags ?? [],
     });
     await this.#writeSettings(handle, { isFirstStart: true });
     handle.start();
@@ -369,15 +371,7 @@
         seeds: this.#seeds,
         isFirstStart: start.isFirstStart,
         logLevel: this.#options.logLevel,
-        bounds: {
-          gracePeriodSeconds: GRACE_PERIOD_SECONDS,
-          revocationSeconds: 5,
-          configurationSeconds: 2,
-          drainSeconds: 2,
-          retryBudgetRatio: 0.2,
-          retryBudgetSlack: 60,
-          quotaTolerance: 0,
-        },
+        bounds: VM_BOUNDS,
       }),
     );
   }
--- a/packages/standins/src/fleet/planned_stop_test.ts
+++ b/packages/standins/src/fleet/planned_stop_test.ts
@@ -5,7 +5,8 @@
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { waitForLeader } from "./fleet_lookup.ts";
-import { FleetProcesses, GRACE_PERIOD_SECONDS } from "./fleet_processes.ts";
+import { FleetProcesses } from "./fleet_processes.ts";
+import { GRACE_PERIOD_SECONDS } from "./vm_bounds.ts";
 import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
--- a/packages/standins/src/fleet/uncaught_exception_test.ts
+++ b/packages/standins/src/fleet/uncaught_exception_test.ts
@@ -3,7 +3,8 @@
 import type { CallerResponse } from "../platform/caller_client.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { waitForLeader } from "./fleet_lookup.ts";
-import { FleetProcesses, GRACE_PERIOD_SECONDS } from "./fleet_processes.ts";
+import { FleetProcesses } from "./fleet_processes.ts";
+import { GRACE_PERIOD_SECONDS } from "./vm_bounds.ts";
 import {
   BUNDLE_DIRECTORY,
   INJECTED_EXCEPTION,
--- a/packages/standins/src/process_soak/fault_injector.ts
+++ b/packages/standins/src/process_soak/fault_injector.ts
@@ -1,9 +1,7 @@
 /** Injects faults into a fleet of processes and clears them. */
 
-import {
-  type FleetProcesses,
-  GRACE_PERIOD_SECONDS,
-} from "../fleet/fleet_processes.ts";
+import { type FleetProcesses } from "../fleet/fleet_processes.ts";
+import { GRACE_PERIOD_SECONDS } from "../fleet/vm_bounds.ts";
 import {
   SERVER_LINK_FAULT,
   type VmProcessHandle,
