--- a/packages/entry/src/fakes/backend_exchange.ts
+++ b/packages/entry/src/fakes/backend_exchange.ts
@@ -7,6 +7,7 @@
   AttemptListener,
 } from "../serving/attempt_listener.ts";
 import { BackendAttempt } from "../serving/backend_attempt.ts";
+import type { BackendConnection } from "../serving/backend_connection.ts";
 import { BackendConnectionPool } from "../serving/backend_connection_pool.ts";
 import { SystemClock } from "../vm/system_clock.ts";
 
@@ -57,7 +58,9 @@
 /** What differs from a caller that takes whatever comes. */
 export interface ExchangeOptions {
   /** Builds the listener of one attempt. */
-  readonly buildListener?: (() => EndListener) | undefined;
+  readonly buildListener?:
+    | ((connection: BackendConnection) => EndListener)
+    | undefined;
   /** Time after which an attempt is cancelled, in milliseconds; never by default. */
   readonly timeoutMs?: number | undefined;
 }
@@ -131,7 +134,8 @@
   { pool, port, id }: ExchangeTarget,
   { buildListener, timeoutMs }: ExchangeOptions,
 ): Promise<AttemptEnd> {
-  const listener = buildListener?.() ?? new EndListener();
+  const connection = pool.acquire({ host: "127.0.0.1", port });
+  const listener = buildListener?.(connection) ?? new EndListener();
   const attempt = new BackendAttempt(
     {
       method: "GET",
@@ -147,7 +151,7 @@
       mayEndWithConnection: true,
       mayDispatch: undefined,
     },
-    pool.acquire({ host: "127.0.0.1", port }),
+    connection,
     { clock: new SystemClock(), listener },
   );
   const timer = timeoutMs === undefined ? undefined : setTimeout(() => {
--- a/packages/entry/src/serving/stalled_caller_test.ts
+++ b/packages/entry/src/serving/stalled_caller_test.ts
@@ -8,12 +8,16 @@
   sendTo,
 } from "../fakes/backend_exchange.ts";
 import type { BackendAttempt } from "./backend_attempt.ts";
+import type { BackendConnection } from "./backend_connection.ts";
 
 const STALL_MS = 120;
 const PACKET_INTERVAL_MS = 20;
 /** Far more than a whole exchange takes. */
 const TIMEOUT_MS = 3_000;
 const CANCEL_MS = 60;
+/** What may be read beside the delivered body (`MAX_FRAMING_BYTES`). */
+const MAX_HELD_BYTES = 262_144;
+const ENDLESS_BYTES = 50_000_000;
 const CUT: AttemptEnd = { kind: "failed", outcome: "cut" };
 
 // Pauses the response at its first chunk and once more when it goes on.
@@ -35,6 +39,34 @@
   }
 }
 
+// Takes one chunk and reads nothing more.
+class StalledListener extends EndListener {
+  /** Bytes that the process has read since, when some time has passed. */
+  readonly readBytes: Promise<number>;
+  #resolve: (bytes: number) => void = () => undefined;
+  readonly #connection: BackendConnection;
+  #isStalled = false;
+
+  constructor(connection: BackendConnection) {
+    super();
+    this.#connection = connection;
+    this.readBytes = new Promise((resolve) => {
+      this.#resolve = resolve;
+    });
+  }
+
+  override receiveChunk(): boolean {
+    if (!this.#isStalled) {
+      this.#isStalled = true;
+      const before = this.#connection.bytesRead;
+      setTimeout(() => {
+        this.#resolve(this.#connection.bytesRead - before);
+      }, STALL_MS);
+    }
+    return false;
+  }
+}
+
 const STALLING = {
   buildListener: () => new StallingListener(),
   timeoutMs: TIMEOUT_MS,
@@ -225,4 +257,21 @@
       expect(connectionCount).toBe(1);
     },
   );
+
+  it("reads little of an answer that is longer than memory", async () => {
+    const listeners: StalledListener[] = [];
+    const end = await sendTo((socket) => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\n");
+      socket.write(Buffer.alloc(ENDLESS_BYTES));
+    }, {
+      buildListener: (connection) => {
+        const listener = new StalledListener(connection);
+        listeners.push(listener);
+        return listener;
+      },
+      timeoutMs: 3 * STALL_MS,
+    });
+    expect(end).toEqual({ kind: "failed", outcome: "timed-out" });
+    expect(await listeners[0]?.readBytes).toBeLessThan(MAX_HELD_BYTES);
+  });
 });
