fix: an exception of a directory request or a store read stopped the VM

What callers saw: what throws while the directory answers, or while records of the store are applied, was caught by nobody: the process ended (since the guard: the VM stopped), though it came from one request or one read. Cause: request handlers and the reads of topics ran without a catch. Change: the request's connection ends, the read is repeated later; one line (exception-contained: source, cause, stack) and a counter. Positions in the topics of the configuration and of suspicions advance after the records are applied, so that one that throws is read again and keys fail closed meanwhile. The exchange's timer is set again if a tick throws, so that the VM can still resign. Ruled out: skipping the record, which may withdraw keys. Not done: the same for the callers' server, the metrics address, the peer server's replies and the exchange's timers: what they throw stops the VM gracefully.

--- a/packages/entry/src/command/fleet_command.ts
+++ b/packages/entry/src/command/fleet_command.ts
@@ -5,6 +5,7 @@
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 import { Command, Option } from "clipanion";
 
+import { FleetExceptions } from "../fleet/fleet_exceptions.ts";
 import { FleetLog } from "../fleet/fleet_log.ts";
 import {
   type FleetSettings,
@@ -89,7 +90,13 @@
   });
   try {
     const random = new SeededRandomSource(randomInt(SEED_RANGE));
-    const vm = new FleetVm(settings, { clock, random, log, metrics });
+    const vm = new FleetVm(settings, {
+      clock,
+      random,
+      log,
+      metrics,
+      exceptions: new FleetExceptions(log, metrics),
+    });
     await startUnlessThrown(vm, exceptions);
     await Promise.race([stopRequested, exceptions.waitFirst()]);
     await stopVm(vm, settings, exceptions);
--- a/packages/entry/src/fleet/directory_server.ts
+++ b/packages/entry/src/fleet/directory_server.ts
@@ -11,6 +11,11 @@
   renderDirectoryResponse,
 } from "@limpetford/platform/store/directory_call";
 
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "../telemetry/contained_exceptions.ts";
+
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 const STATUS_UNAVAILABLE = 503;
@@ -42,15 +47,18 @@
  */
 export class DirectoryServer {
   readonly #source: DirectorySource;
+  readonly #exceptions: ContainedExceptions;
   readonly #servers: http.Server[] = [];
 
   /**
    * Creates a server that does not listen yet.
    *
    * @param source - supplies the data of the responses
+   * @param exceptions - receives what a request throws; its connection ends
    */
-  constructor(source: DirectorySource) {
+  constructor(source: DirectorySource, exceptions: ContainedExceptions) {
     this.#source = source;
+    this.#exceptions = exceptions;
   }
 
   /**
@@ -74,7 +82,12 @@
     const server = http.createServer(
       { keepAliveTimeout: IDLE_TIMEOUT_MS, requireHostHeader: false },
       (request, response) => {
-        this.#handleCall(request.url ?? "/", response);
+        try {
+          this.#handleCall(request.url ?? "/", response);
+        } catch (error) {
+          this.#exceptions.report(EXCEPTION_SOURCE.directory, error);
+          response.destroy();
+        }
       },
     );
     this.#servers.push(server);
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -195,8 +195,11 @@
     loop.setTimerDue(clock.readMonotonicMs() + delayMs);
     this.#timer = setTimeout(() => {
       loop.observeTimer();
-      this.#runTick();
-      this.#scheduleTick();
+      try {
+        this.#runTick();
+      } finally {
+        this.#scheduleTick();
+      }
     }, delayMs);
   }
 
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -7,6 +7,7 @@
 import { StoreClient } from "@limpetford/platform/store/store_client";
 
 import type { CallerServer } from "../http/caller_server.ts";
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { TcpConnectProbe } from "./connect_probe.ts";
@@ -59,6 +60,7 @@
   readonly random: RandomSource;
   readonly log: FleetLog;
   readonly metrics: PrometheusMetrics;
+  readonly exceptions: ContainedExceptions;
 }
 
 /**
@@ -96,7 +98,7 @@
    * @param dependencies - clock, randomness, log and metrics
    */
   constructor(settings: FleetSettings, dependencies: FleetVmDependencies) {
-    const { clock, random, log, metrics } = dependencies;
+    const { clock, random, log, metrics, exceptions } = dependencies;
     const { self } = settings;
     const notifyChange = (): void => {
       this.#exchange.notifyPartners();
@@ -127,6 +129,7 @@
     const probe = new TcpConnectProbe();
     this.#directory = new DirectoryServer(
       new FleetDirectory({ self, state, peers: this.#peers, clock }),
+      exceptions,
     );
     this.#crashes = new CrashProtection({
       probe,
@@ -342,7 +345,7 @@
   }
 
   #buildConsumers(): readonly TopicConsumer[] {
-    const { clock, log } = this.#dependencies;
+    const { clock, log, exceptions } = this.#dependencies;
     const state = this.#state;
     const { configurationMs } = this.#settings;
     const configuration = new ConfigurationHandler({
@@ -366,6 +369,7 @@
         client: this.#client,
         clock,
         log,
+        exceptions,
       })
     );
   }
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -37,6 +37,12 @@
       "a fault of the program: something threw and nothing caught it; the VM stops gracefully, and the process exits with 1",
     fields: { cause: "text", stack: "text" },
   },
+  "exception-contained": {
+    level: "error",
+    meaning:
+      "a fault of the program: something threw, and only the connection or call of `source` that it came from ended",
+    fields: { source: "text", cause: "text", stack: "text" },
+  },
   "settings-reloaded": {
     level: "info",
     meaning: "the settings file was checked; if valid, the next start uses it",
--- a/packages/entry/src/fleet/store_handlers.ts
+++ b/packages/entry/src/fleet/store_handlers.ts
@@ -113,12 +113,13 @@
   ): void {
     const { era } = next;
     this.#options.state.observeStoreEra(era);
-    this.#next = pickLaterPosition(this.#next, next);
     for (const { key, value, offset } of records) {
       if (key === CONFIGURATION_KEY && value !== undefined) {
         this.#applyConfiguration(value, { era, offset });
       }
     }
+    // After an exception the records are read again, and keys fail closed until then.
+    this.#next = pickLaterPosition(this.#next, next);
   }
 
   override recordFreshness(atMs: number): void {
--- a/packages/entry/src/fleet/suspicions_handler.ts
+++ b/packages/entry/src/fleet/suspicions_handler.ts
@@ -126,7 +126,6 @@
     records: readonly KeyedRecord[],
     next: LogPosition,
   ): void {
-    this.#next = next;
     for (const { key, value, offset } of records) {
       if (value === undefined) {
         this.#stored.delete(key);
@@ -134,6 +133,7 @@
         this.#applyRecord(key, value, offset);
       }
     }
+    this.#next = next;
   }
 
   override recordFreshness(atMs: number): void {
--- a/packages/entry/src/fleet/topic_consumer.ts
+++ b/packages/entry/src/fleet/topic_consumer.ts
@@ -10,6 +10,11 @@
 } from "@limpetford/platform/store/store_error";
 import type { Topic } from "@limpetford/platform/store/wire_names";
 
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "../telemetry/contained_exceptions.ts";
+import { describeException } from "../telemetry/exception_report.ts";
 import type { FleetLog } from "./fleet_log.ts";
 
 const FIRST_RETRY_MS = 150;
@@ -77,6 +82,8 @@
   readonly client: StoreClient;
   readonly clock: Clock;
   readonly log: FleetLog;
+  /** Receives what a read throws; it is repeated later. */
+  readonly exceptions: ContainedExceptions;
 }
 
 /**
@@ -113,7 +120,7 @@
         );
         continue;
       }
-      const error = await this.#readOnce();
+      const error = await this.#readGuarded();
       if (error === undefined) {
         this.#recordSuccess();
       } else {
@@ -129,6 +136,15 @@
     this.#wake?.();
   }
 
+  async #readGuarded(): Promise<StoreError | undefined> {
+    try {
+      return await this.#readOnce();
+    } catch (error) {
+      this.#options.exceptions.report(EXCEPTION_SOURCE.store, error);
+      return { kind: "malformed", cause: describeException(error).cause };
+    }
+  }
+
   async #readOnce(): Promise<StoreError | undefined> {
     const { topic, waitMs } = this.#handler;
     const sentAtMs = this.#options.clock.readMonotonicMs();
--- a/packages/entry/src/command/uncaught_exceptions_test.ts
+++ b/packages/entry/src/telemetry/exception_report_test.ts
@@ -1,4 +1,4 @@
-import { describeException } from "./uncaught_exceptions.ts";
+import { describeException } from "./exception_report.ts";
 
 const MAX_TOTAL_LENGTH = 2_500;
 
@@ -19,7 +19,7 @@
   it("tells cause and stack", () => {
     const { cause, stack } = describeException(new TypeError("wrong"));
     expect(cause).toBe("TypeError: wrong");
-    expect(stack).toContain("uncaught_exceptions_test");
+    expect(stack).toContain("exception_report_test");
     expect(stack).not.toContain("wrong");
   });
 
