--- a/packages/entry/src/command/fleet_command.ts
+++ b/packages/entry/src/command/fleet_command.ts
@@ -6,6 +6,7 @@
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 import { Command, Option } from "clipanion";
 
+import { FleetExceptions } from "../fleet/fleet_exceptions.ts";
 import { FleetLog } from "../fleet/fleet_log.ts";
 import {
   type FleetSettings,
@@ -96,6 +97,7 @@
       log,
       metrics,
       heapLimitBytes: getHeapStatistics().heap_size_limit,
+      exceptions: new FleetExceptions(log, metrics),
     });
     await startUnlessThrown(vm, exceptions);
     await Promise.race([stopRequested, exceptions.waitFirst()]);
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -7,6 +7,7 @@
 import { StoreClient } from "@limpetford/platform/store/store_client";
 
 import type { CallerServer } from "../http/caller_server.ts";
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { TcpConnectProbe } from "./connect_probe.ts";
@@ -58,6 +59,7 @@
   readonly metrics: PrometheusMetrics;
   /** Size up to which the heap of the process may grow. */
   readonly heapLimitBytes: number;
+  readonly exceptions: ContainedExceptions;
 }
 
 /**
@@ -95,7 +97,7 @@
    * @param dependencies - clock, randomness, log and metrics
    */
   constructor(settings: FleetSettings, dependencies: FleetVmDependencies) {
-    const { clock, random, log, metrics } = dependencies;
+    const { clock, random, log, metrics, exceptions } = dependencies;
     const { self } = settings;
     const notifyChange = (): void => {
       this.#exchange.notifyPartners();
@@ -126,6 +128,7 @@
     const probe = new TcpConnectProbe();
     this.#directory = new DirectoryServer(
       new FleetDirectory({ self, state, peers: this.#peers, clock }),
+      exceptions,
     );
     this.#crashes = new CrashProtection({
       probe,
@@ -344,7 +347,7 @@
   }
 
   #buildConsumers(): readonly TopicConsumer[] {
-    const { clock, log } = this.#dependencies;
+    const { clock, log, exceptions } = this.#dependencies;
     const state = this.#state;
     const { configurationMs } = this.#settings;
     const configuration = new ConfigurationHandler({
@@ -368,6 +371,7 @@
         client: this.#client,
         clock,
         log,
+        exceptions,
       })
     );
   }
