--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -119,9 +119,8 @@
     this.#loop = new EventLoopMonitor(clock);
     this.#client = new StoreClient(settings.storeAddress);
     this.#registration = new VmRegistration(self, this.#client, log);
-    const state = new FleetState(clock);
+    const state = this.#state = new FleetState(clock);
     state.applyVm(self);
-    this.#state = state;
     const traffic = new ZoneTraffic({ self, state, metrics });
     this.#calls = new FleetCallClient(traffic);
     this.#peers = new FleetPeers(self, state, clock);
@@ -366,13 +365,9 @@
       () => this.#reads.decideVmListReader(),
     );
     const { handler } = this.#crashes;
+    const options = { client: this.#client, clock, log, exceptions };
     return [configuration, this.#servers, vms, handler].map((handler) =>
-      new TopicConsumer(handler, {
-        client: this.#client,
-        clock,
-        log,
-        exceptions,
-      })
+      new TopicConsumer(handler, options)
     );
   }
 
