fix: metrics tell a scraper of HTTP/1.0 where they end

What a scraper saw: a page whose end was the end of its connection, so that a part of it looked whole if the VM ended meanwhile. Cause: no length; HTTP/1.0 knows no chunks. Ruled out: the directory, readiness, the operators' address and replies between VMs (they had a length). Red before: prometheus_metrics_test "tells a scraper of HTTP/1.0 where they end".

--- a/packages/entry/src/telemetry/prometheus_metrics.ts
+++ b/packages/entry/src/telemetry/prometheus_metrics.ts
@@ -108,6 +108,7 @@
       void this.render().then((text) => {
         response.writeHead(STATUS_OK, {
           "content-type": this.#registry.contentType,
+          "content-length": Buffer.byteLength(text),
         });
         response.end(text);
       });
