fix: requests behind another one on a connection that ends hold no memory

Cause: Node closes only the response that its connection is writing; one that waits behind it never closes. Its share of the memory stayed open, its connection stayed in a map, and after a reset the request was not cancelled. Ruled out: a listener for each request on its socket (many requests on one would pass the limit of listeners).

--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -364,6 +364,11 @@
           ended.handleEnd();
         });
       });
+      socket.once("close", () => {
+        this.#exchanges.get(socket)?.forEach((closed) => {
+          closed.handleClose();
+        });
+      });
     }
   }
 
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -50,6 +50,9 @@
   readonly likelyUnreadMs: number;
   readonly forwarding: ForwardingTerms | undefined;
   readonly #options: ExchangeOptions;
+  /** Resolves when nothing of the response can be sent any more. */
+  readonly closed: Promise<void>;
+  #resolveClosed: () => void = () => undefined;
   #disconnectListener: (() => void) | undefined;
   #isCallerDisconnected = false;
   /** Refusal that limpetford answered with, if it did. */
@@ -76,9 +79,11 @@
     this.likelyUnreadMs = options.likelyUnreadMs;
     this.forwarding = options.forwarding;
     this.#options = options;
+    this.closed = new Promise((resolve) => {
+      this.#resolveClosed = resolve;
+    });
     response.on("close", () => {
-      this.#handleClose();
-      options.releaseExchange(this);
+      this.handleClose();
     });
     response.on("error", handleIgnoredError);
     request.on("error", handleIgnoredError);
@@ -200,10 +205,16 @@
     }
   }
 
-  #handleClose(): void {
+  /**
+   * Called when the response or its connection is closed. A response that waits
+   * behind another one on its connection is not closed with it.
+   */
+  handleClose(): void {
     if (!this.response.writableFinished) {
       this.#markDisconnected();
     }
+    this.#resolveClosed();
+    this.#options.releaseExchange(this);
   }
 
   #markDisconnected(): void {
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -156,14 +156,13 @@
       this.#refuseForMemory(exchange);
       return;
     }
-    const closed = new Promise((resolve) => {
-      exchange.response.once("close", resolve);
-    });
     this.#arrivals.begin(() => {
       // A slow caller's response is held until its connection has taken it.
-      void this.#serve(exchange, memory).then(() => closed).then(() => {
-        memory.close();
-      });
+      void this.#serve(exchange, memory).then(() => exchange.closed).then(
+        () => {
+          memory.close();
+        },
+      );
     });
   }
 
