--- a/packages/entry/src/serving/response_writer.ts
+++ b/packages/entry/src/serving/response_writer.ts
@@ -12,6 +12,7 @@
 export class ResponseWriter {
   readonly #response: ServerResponse;
   #drainListener: (() => void) | undefined;
+  #isWaitingForDrain = false;
 
   /**
    * Wraps a response whose headers have not been sent.
@@ -52,9 +53,13 @@
     if (this.#response.destroyed || this.#response.write(chunk)) {
       return true;
     }
-    this.#response.once("drain", () => {
-      this.#drainListener?.();
-    });
+    if (!this.#isWaitingForDrain) {
+      this.#isWaitingForDrain = true;
+      this.#response.once("drain", () => {
+        this.#isWaitingForDrain = false;
+        this.#drainListener?.();
+      });
+    }
     return false;
   }
 
