--- a/packages/entry/src/serving/second_response_detector.ts
+++ b/packages/entry/src/serving/second_response_detector.ts
@@ -1,28 +1,31 @@
 /** Detects a second response within the body of the first. */
 
-const STATUS_LINE = /HTTP\/1\.[01] [1-5][0-9]{2} /;
+import type { ResponseHead } from "./attempt_listener.ts";
+
+const STATUS_LINE = /HTTP\/1\.[01] ([1-5][0-9]{2}) /;
 const STATUS_LINE_LENGTH = "HTTP/1.1 200 ".length;
-/** Bytes behind a status line in which the identifier is looked for. */
+/** Bytes from a status line on that are read as the head of a response. */
 const MAX_HEAD_BYTES = 16_384;
+const LINE_END = "\r\n";
 
 /**
  * Looks for a response in a body that ends with its connection. A server that
  * responds twice writes the second response where more of the body may follow. Text
- * that only looks like one doesn't bear the identifier of a request of the
- * connection as the value of a header.
+ * that only looks like one has no headers by which it could be a response.
  */
 export class SecondResponseDetector {
-  readonly #headerValues: readonly string[];
+  readonly #isResponse: (head: ResponseHead) => boolean;
   /** What has been read from the last status line on, or the last few bytes. */
   #text = "";
 
   /**
    * Creates a detector that has seen no byte.
    *
-   * @param ids - identifiers of the requests that the connection has carried
+   * @param isResponse - tells a response on this connection by its head, of which
+   * the last headers may not have been read yet
    */
-  constructor(ids: readonly string[]) {
-    this.#headerValues = ids.map((id) => `: ${id}\r\n`);
+  constructor(isResponse: (head: ResponseHead) => boolean) {
+    this.#isResponse = isResponse;
   }
 
   /**
@@ -34,14 +37,15 @@
   observe(chunk: Buffer): boolean {
     this.#text += chunk.toString("latin1");
     for (;;) {
-      const start = this.#text.search(STATUS_LINE);
-      if (start < 0) {
+      const match = STATUS_LINE.exec(this.#text);
+      if (match === null) {
         this.#text = this.#text.slice(1 - STATUS_LINE_LENGTH);
         return false;
       }
-      this.#text = this.#text.slice(start);
-      const head = this.#text.slice(0, MAX_HEAD_BYTES);
-      if (this.#headerValues.some((value) => head.includes(value))) {
+      this.#text = this.#text.slice(match.index);
+      const text = this.#text.slice(0, MAX_HEAD_BYTES);
+      const head = { status: Number(match[1]), headers: parseHeaders(text) };
+      if (this.#isResponse(head)) {
         return true;
       }
       if (this.#text.length < MAX_HEAD_BYTES) {
@@ -51,3 +55,19 @@
     }
   }
 }
+
+// Reads the complete header lines behind a status line.
+function parseHeaders(text: string): Readonly<Record<string, string>> {
+  const end = text.indexOf(LINE_END + LINE_END);
+  const lines = text.slice(0, end < 0 ? undefined : end + LINE_END.length)
+    .split(LINE_END).slice(1, -1);
+  const headers: Record<string, string> = {};
+  for (const line of lines) {
+    const colon = line.indexOf(":");
+    if (colon > 0) {
+      const name = line.slice(0, colon).toLowerCase();
+      headers[name] = line.slice(colon + 1).trim();
+    }
+  }
+  return headers;
+}
--- a/packages/entry/src/serving/second_response_detector_test.ts
+++ b/packages/entry/src/serving/second_response_detector_test.ts
@@ -5,7 +5,9 @@
   `HTTP/1.1 200 OK\r\nRequest-Id: ${ID}\r\ncontent-length: 4\r\n\r\nbody`;
 
 function detectIn(chunks: readonly string[]): boolean {
-  const detector = new SecondResponseDetector(["1f", ID]);
+  const detector = new SecondResponseDetector(({ headers }) =>
+    headers["request-id"] === ID
+  );
   return chunks.map((chunk) => detector.observe(Buffer.from(chunk)))
     .some(Boolean);
 }
@@ -16,6 +18,14 @@
     expect(detectIn([`body${SECOND}`])).toBe(true);
   });
 
+  it.each(["request-id:<id>", "REQUEST-ID:  <id>  "])(
+    "finds one however its headers are written: %s",
+    (line) => {
+      const header = line.replace("<id>", ID);
+      expect(detectIn([`HTTP/1.1 503 No\r\n${header}\r\n`])).toBe(true);
+    },
+  );
+
   it("finds one that is cut anywhere", () => {
     const text = `HTTP/1.1 body HTTP/1.1 200 ${SECOND}`;
     for (let at = 1; at < text.length; at++) {
@@ -34,6 +44,7 @@
     `a text that names ${ID}\r\n`,
     "HTTP/1.1 200 OK\r\nRequest-Id: 9c41d07be2a35f69\r\n\r\n",
     `HTTP/1.1 200 OK\r\nbody\r\n${ID}\r\n`,
+    `HTTP/1.1 200 OK\r\n\r\nRequest-Id: ${ID}\r\n`,
   ])("leaves other text alone: %j", (text) => {
     expect(detectIn([text])).toBe(false);
   });
--- a/packages/entry/src/serving/unsized_body.ts
+++ b/packages/entry/src/serving/unsized_body.ts
@@ -25,10 +25,12 @@
   constructor(connection: BackendConnection, request: AttemptRequest) {
     this.#connection = connection;
     this.#request = request;
-    this.#detector = new SecondResponseDetector([
-      request.identity.id,
-      ...connection.answeredIds,
-    ]);
+    const { identity, isProven } = request;
+    const ids = [identity.id, ...connection.answeredIds];
+    this.#detector = new SecondResponseDetector((head) => {
+      const id = identity.readId(head.headers);
+      return id === undefined ? isProven(head) : ids.includes(id);
+    });
   }
 
   /**
