--- a/packages/entry/src/serving/exchange_receiver.ts
+++ b/packages/entry/src/serving/exchange_receiver.ts
@@ -7,8 +7,8 @@
 import { isTruncationDetectable } from "./response_framing.ts";
 import { ResponseReceiver } from "./response_receiver.ts";
 
-/** Longest response without a length that an HTTP/1.0 caller can get. */
-const MAX_COLLECTED_BYTES = 1_048_576;
+/** Longest response without a length that a caller without chunks can get. */
+const MAX_COLLECTED_BYTES = 262_144;
 
 /** Options of an {@link ExchangeReceiver}. */
 export interface ExchangeReceiverOptions {
--- a/packages/entry/src/serving/response_framing.ts
+++ b/packages/entry/src/serving/response_framing.ts
@@ -9,7 +9,7 @@
 const MAX_FRAMING_BYTES_PER_BODY_BYTE = 16;
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
-const HTTP_1_0 = "1.0";
+const HTTP_1_1 = "1.1";
 
 /** What the framing of a response to a caller depends on. */
 export interface CallerProtocol {
@@ -46,7 +46,7 @@
 
 /**
  * Checks whether a caller can tell a truncated response from a whole one. A caller
- * of HTTP/1.0 knows no chunks, so a response that it gets needs a length.
+ * of another version than HTTP/1.1 gets no chunks, so its response needs a length.
  *
  * @param request - method and HTTP version of the caller
  * @param status - HTTP status of the response
@@ -58,7 +58,7 @@
   status: number,
   headerNames: readonly string[],
 ): boolean {
-  return httpVersion !== HTTP_1_0 || !hasBody(method, status) ||
+  return httpVersion === HTTP_1_1 || !hasBody(method, status) ||
     headerNames.includes("content-length");
 }
 
