--- a/packages/entry/src/fleet/crash_guard.ts
+++ b/packages/entry/src/fleet/crash_guard.ts
@@ -151,12 +151,10 @@
    * Finds out whether a server's process still runs.
    *
    * @param server - identifier and address
-   * @returns false if it refuses connections, and other servers do not
+   * @returns false if it refuses connections, whether or not others do too
    */
-  async verifyRunning({ id, address }: ProbedServer): Promise<boolean> {
-    const { probe, verifyLinks } = this.#options;
-    const result = await probe.probe(address);
-    return result !== "refused" || !await verifyLinks(id);
+  async verifyRunning({ address }: ProbedServer): Promise<boolean> {
+    return await this.#options.probe.probe(address) !== "refused";
   }
 
   /**
--- a/packages/entry/src/ports/server_router.ts
+++ b/packages/entry/src/ports/server_router.ts
@@ -40,7 +40,7 @@
    * Finds out whether the server's process still runs; absent if the router has no
    * way to know.
    *
-   * @returns false if it refuses connections, and other servers do not
+   * @returns false if it refuses connections
    */
   readonly verifyServer?: () => Promise<boolean>;
 }
