test: odd answers that say their server leaves hold until it starts again

A server that says it leaves is not used again until it starts again, so the test announces a start before it asks for service; what is asked stays. The memory test takes the names of the platform's headers from the stand-ins (wire_names_test was red).

--- a/packages/standins/src/fleet/held_memory_test.ts
+++ b/packages/standins/src/fleet/held_memory_test.ts
@@ -1,6 +1,7 @@
 import { execFileSync } from "node:child_process";
 import { readFileSync } from "node:fs";
 
+import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { getVm } from "./fleet_lookup.ts";
@@ -83,8 +84,9 @@
       server.chooseRawResponse = ({ target, headers }) =>
         target.startsWith("/read/")
           ? {
-            bytes: "HTTP/1.1 200 OK\r\nserver-signature: s\r\n" +
-              `request-id: ${String(headers["request-id"])}\r\n` +
+            bytes: `HTTP/1.1 200 OK\r\n${PROTOCOL_HEADER.signature}: s\r\n` +
+              `${PROTOCOL_HEADER.requestId}: ` +
+              `${String(headers[PROTOCOL_HEADER.requestId])}\r\n` +
               `content-length: ${body.length}\r\n\r\n${body}`,
             end: "close",
           }
@@ -155,7 +157,7 @@
     expect(held.filter((caller) => isLost(caller))).toEqual([]);
     const ran = new Set(
       fleet.servers.flatMap(({ received }) =>
-        received.map(({ headers }) => headers["request-id"])
+        received.map(({ headers }) => headers[PROTOCOL_HEADER.requestId])
       ),
     );
     expect(refused.filter(({ request }) => ran.has(request.id))).toEqual([]);
--- a/packages/standins/src/fleet/odd_input_test.ts
+++ b/packages/standins/src/fleet/odd_input_test.ts
@@ -225,6 +225,10 @@
             ...index % 2 === 0 ? { method: "POST", body: "x" } : {},
           })
         ));
+        // One that has said that it leaves is used again once it has restarted.
+        for (const server of fleet.servers) {
+          fleet.publishRestart(server);
+        }
         await expectServing();
       },
     );
