--- a/packages/entry/src/telemetry/contained_exceptions.ts
+++ b/packages/entry/src/telemetry/contained_exceptions.ts
@@ -2,10 +2,7 @@
 
 /** What an exception came from, by names of a small fixed set. */
 export const EXCEPTION_SOURCE = {
-  caller: "caller",
   directory: "directory",
-  metrics: "metrics",
-  peer: "peer",
   store: "store",
 } as const;
 /** One of {@link EXCEPTION_SOURCE}. */
