--- a/packages/entry/src/fleet/event_page.ts
+++ b/packages/entry/src/fleet/event_page.ts
@@ -1,6 +1,7 @@
 /** Generates the operators' reference page of log events. */
 
-import { LOG_EVENTS, type LogEventDescription } from "./log_events.ts";
+import type { LogEventDescription } from "./log_event_description.ts";
+import { LOG_EVENTS } from "./log_events.ts";
 
 const PAGE_HEADER = `# Log lines
 
--- a/packages/entry/src/fleet/fleet_log.ts
+++ b/packages/entry/src/fleet/fleet_log.ts
@@ -5,11 +5,11 @@
 import * as winston from "winston";
 
 import { BoundedWriter } from "../telemetry/bounded_writer.ts";
+import type { LogLevel } from "./log_event_description.ts";
 import {
   LOG_EVENTS,
   type LogEventFields,
   type LogEventName,
-  type LogLevel,
 } from "./log_events.ts";
 
 const LINES_PER_SECOND = 400;
--- a/packages/entry/src/fleet/placement_log.ts
+++ b/packages/entry/src/fleet/placement_log.ts
@@ -6,6 +6,7 @@
 
 import type {
   AttemptSample,
+  FailedAttempt,
   PlacementRequest,
 } from "../ports/server_router.ts";
 import { readServiceId } from "./demand_builder.ts";
@@ -101,6 +102,19 @@
     });
   }
 
+  /**
+   * Logs that a failed attempt is the last one for want of retry budget.
+   *
+   * @param attempt - the failed attempt
+   */
+  recordRetryDenied({ request, sample }: FailedAttempt): void {
+    this.#options.log.record("retry-denied", {
+      request: request.context.id,
+      service: readServiceId(request),
+      outcome: sample.outcome,
+    });
+  }
+
   /**
    * Logs the end of an attempt.
    *
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -165,10 +165,13 @@
   override planRetry(attempt: FailedAttempt): RetryVerdict {
     const service = this.#options.balancers.find(attempt.request);
     // No server has got a request whose connection could not be made.
-    return attempt.sample.outcome === "connect-failed" ||
-        service?.takeRetry() === true
-      ? { kind: "retry", delayMs: 0 }
-      : { kind: "give-up" };
+    const mayRetry = attempt.sample.outcome === "connect-failed" ||
+      service?.takeRetry() === true;
+    if (!mayRetry) {
+      this.#log.recordRetryDenied(attempt);
+      return { kind: "give-up" };
+    }
+    return { kind: "retry", delayMs: 0 };
   }
 
   override planHedgeMs(request: PlacementRequest): number | undefined {
