feat: the log tells for how long the end of a response lay unread

UnreadTime follows the reads of such a connection: they fall behind while the event loop is late and while they are held back for a slow caller, and have caught up once the connection brings nothing for three turns. `response-unsized` has `unreadMs`. No decision rests on it yet.

--- a/packages/core/src/evidence/attempt_sample.ts
+++ b/packages/core/src/evidence/attempt_sample.ts
@@ -33,8 +33,11 @@
   readonly wasConnectionReused: boolean;
   /** Size of the response. */
   readonly answerBytes: number;
-  /** True if the response had no length and ended with its connection. */
-  readonly endsWithConnection?: boolean;
+  /**
+   * Longest time for which the end of a response may have lain unread; undefined
+   * unless it had no length and ended with its connection.
+   */
+  readonly unreadMs?: number | undefined;
   /** False if the request was certainly not sent; absent if not known. */
   readonly wasSent?: boolean;
 }
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -218,12 +218,13 @@
   "response-unsized": {
     level: "info",
     meaning:
-      "a server's response had no length and ended with its connection; `bytes` is the size of the body that was read",
+      "a server's response had no length and ended with its connection; `bytes` is the size of the body that was read, and its end lay unread for `unreadMs` at most",
     fields: {
       request: "text",
       server: "text",
       outcome: "text",
       bytes: "number",
+      unreadMs: "number",
     },
   },
   ...SERVER_LOG_EVENTS,
--- a/packages/entry/src/fleet/placement_log.ts
+++ b/packages/entry/src/fleet/placement_log.ts
@@ -137,8 +137,12 @@
       ...line,
       totalMs: Math.round(sample.totalMs),
     });
-    if (sample.endsWithConnection === true) {
-      log.record("response-unsized", { ...line, bytes: sample.answerBytes });
+    if (sample.unreadMs !== undefined) {
+      log.record("response-unsized", {
+        ...line,
+        bytes: sample.answerBytes,
+        unreadMs: Math.round(sample.unreadMs),
+      });
     }
   }
 }
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -291,7 +291,7 @@
     const attempt = new BackendAttempt(
       { ...message, verifyServer: placement.verifyServer },
       openAttemptConnection(this.#dependencies, placement),
-      { clock: this.#ports.clock, listener: this },
+      { clock: this.#ports.clock, loop: this.#ports.loop, listener: this },
     );
     this.#running.add(attempt, { placement, request, span });
     attempt.start();
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -16,15 +16,20 @@
   RESPONSE_OWNER,
 } from "./attempt_message.ts";
 import type { BackendConnection } from "./backend_connection.ts";
+import { EarlierCopies } from "./earlier_copies.ts";
 import {
   checkResponseFraming,
   computeMaxResponseBytes,
 } from "./response_framing.ts";
+import type { UnreadTimeOptions } from "./unread_time.ts";
 import { UnsizedBody } from "./unsized_body.ts";
 
 const FIRST_UNSUCCESSFUL_STATUS = 300;
-/** Copies of earlier responses that are read before the attempt is given up. */
-const MAX_SKIPPED_COPIES = 8;
+
+/** Dependencies of a {@link BackendAttempt}. */
+export interface BackendAttemptOptions extends UnreadTimeOptions {
+  readonly listener: AttemptListener;
+}
 
 /**
  * Sends a request once over its own connection and reports the response to a
@@ -33,9 +38,11 @@
 export class BackendAttempt {
   readonly request: AttemptRequest;
   readonly #connection: BackendConnection;
+  readonly #options: BackendAttemptOptions;
   readonly #clock: Clock;
   readonly #listener: AttemptListener;
   readonly #wasConnectionReused: boolean;
+  readonly #copies = new EarlierCopies();
   #startedAtMs = 0;
   #sentAtMs: number | undefined;
   #firstByteAtMs: number | undefined;
@@ -50,14 +57,6 @@
   #isFinished = false;
   #isDispatchDenied = false;
   #isSuccess = false;
-  /** True while a copy of an earlier response is read. */
-  #isSkipping = false;
-  /** Number of such copies so far. */
-  #skippedCount = 0;
-  /** Bytes of their bodies. */
-  #skippedBytes = 0;
-  /** True once the response to this attempt is expected behind such a copy. */
-  #isReceivingNext = false;
   #isConnectionKept = true;
 
   /**
@@ -65,14 +64,15 @@
    *
    * @param request - HTTP request to send
    * @param connection - connection that no other request uses
-   * @param options - clock for the measurements, and listener
+   * @param options - listener, clock for the measurements, and event loop
    */
   constructor(
     request: AttemptRequest,
     connection: BackendConnection,
-    options: { readonly clock: Clock; readonly listener: AttemptListener },
+    options: BackendAttemptOptions,
   ) {
     this.request = request;
+    this.#options = options;
     this.#connection = connection;
     this.#clock = options.clock;
     this.#listener = options.listener;
@@ -135,6 +135,7 @@
   /** Continues a response that the listener has paused. */
   resume(): void {
     if (!this.#isFinished) {
+      this.#unsizedBody?.observeResume();
       this.#connection.resumeReading();
     }
   }
@@ -156,7 +157,7 @@
       totalMs: this.#clock.readMonotonicMs() - this.#startedAtMs,
       wasConnectionReused: this.#wasConnectionReused,
       answerBytes: this.#responseBytes,
-      endsWithConnection: this.#unsizedBody !== undefined,
+      unreadMs: this.#unsizedBody?.maxUnreadMs,
       wasSent: this.mayHaveRun,
     };
   }
@@ -171,7 +172,7 @@
       controller.abort(new Error("attempt has already ended"));
       return;
     }
-    if (this.#isReceivingNext) {
+    if (this.#copies.hasAny) {
       this.#connection.dropWrites();
       return;
     }
@@ -217,7 +218,11 @@
     }
     this.#isSuccess = status < FIRST_UNSUCCESSFUL_STATUS;
     if (!checkResponseFraming(this.request.method, status, headers)) {
-      this.#unsizedBody = new UnsizedBody(this.#connection, this.request);
+      this.#unsizedBody = new UnsizedBody(
+        this.#connection,
+        this.request,
+        this.#options,
+      );
     }
     const isDelimited = this.#unsizedBody === undefined ||
       this.request.mayEndWithConnection;
@@ -243,8 +248,8 @@
     if (this.#isFinished) {
       return;
     }
-    if (this.#isSkipping) {
-      this.#skippedBytes += chunk.length;
+    if (this.#copies.isReceiving) {
+      this.#copies.drop(chunk);
       return;
     }
     this.#responseBytes += chunk.length;
@@ -265,8 +270,8 @@
     if (this.#isFinished) {
       return;
     }
-    if (this.#isSkipping) {
-      this.#isSkipping = false;
+    if (this.#copies.isReceiving) {
+      this.#copies.complete();
       return;
     }
     this.#hasEnded = true;
@@ -288,7 +293,7 @@
   // number of informational responses, and chunk extensions.
   #checkFraming(): void {
     const read = this.#connection.bytesRead - this.#bytesReadBefore;
-    const bodyBytes = this.#responseBytes + this.#skippedBytes;
+    const bodyBytes = this.#responseBytes + this.#copies.bytes;
     if (read > computeMaxResponseBytes(bodyBytes)) {
       this.#reportFailure({ outcome: this.#findBreak(), isMalformed: true });
     }
@@ -347,11 +352,8 @@
 
   // A copy of an earlier response has begun; the response to this attempt follows.
   #dropCopy(): void {
-    this.#isSkipping = true;
-    this.#isReceivingNext = true;
-    this.#skippedCount += 1;
     if (
-      this.#skippedCount > MAX_SKIPPED_COPIES ||
+      !this.#copies.begin() ||
       !this.#connection.receiveNext(buildAttemptHandler(this))
     ) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
@@ -359,7 +361,7 @@
   }
 
   #releaseConnection(): void {
-    if (this.#isConnectionKept && !this.#isReceivingNext) {
+    if (this.#isConnectionKept && !this.#copies.hasAny) {
       this.#connection.release(
         this.request.identity.id,
         this.#clock.readMonotonicMs(),
@@ -371,6 +373,7 @@
 
   #deliver(chunk: Buffer): void {
     if (!this.#listener.receiveChunk(this, chunk)) {
+      this.#unsizedBody?.observeHold();
       this.#connection.stopReading();
     }
   }
