fix: the end of a response that is read late proves nothing

What callers saw: a part of a response without a length that looked whole (200, complete), if its server's process ended midway and another one listened before the VM had read the end: a VM that stood still for 1.5 s, or slow callers. And a 502 for bookings whose response was whole, while new connections of the VM were refused and older ones lived.

Cause: the VM asked "does the server accept connections?" when it read the end. The question is whether the process that sent the response is the one that listens now. Class: evidence that is collected later than the event it is about.

Ruled out: the server's announcement, which names its start (seconds later, and the response would have to wait); a health check (takes a slot, and names an id that a restarted server may keep); to read on despite a slow caller (memory).

Change: a response without a length counts as whole if a connection to its server is open that was made within 500 ms of the earliest moment at which its end may have arrived. UnreadTime bounds that moment; the connection is a new one if the end was read in time, an idle one of the pool, or a spare one (ServerWitness), made as soon as reads are 100 ms behind. Without any, the response is cut. If new connections are refused, an older one that is still open 50 ms later counts, so that a fault of the VM's own links costs no whole response. One more connection per response without a length that a slow caller takes longer than 100 ms for.

--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -221,7 +221,7 @@
       this.#unsizedBody = new UnsizedBody(
         this.#connection,
         this.request,
-        this.#options,
+        { ...this.#options, sentAtMs: this.#sentAtMs ?? this.#startedAtMs },
       );
     }
     const isDelimited = this.#unsizedBody === undefined ||
@@ -344,8 +344,7 @@
       });
       return;
     }
-    this.#isFinished = true;
-    this.#connection.dataListener = undefined;
+    this.#markFinished();
     this.#releaseConnection();
     this.#listener.receiveEnd(this, chunk);
   }
@@ -371,6 +370,12 @@
     }
   }
 
+  #markFinished(): void {
+    this.#isFinished = true;
+    this.#connection.dataListener = undefined;
+    this.#unsizedBody?.close();
+  }
+
   #deliver(chunk: Buffer): void {
     if (!this.#listener.receiveChunk(this, chunk)) {
       this.#unsizedBody?.observeHold();
@@ -384,8 +389,7 @@
     if (this.#isFinished) {
       return;
     }
-    this.#isFinished = true;
-    this.#connection.dataListener = undefined;
+    this.#markFinished();
     this.#connection.abort();
     this.#listener.receiveFailure(this, {
       ...failure,
--- a/packages/entry/src/serving/backend_connection.ts
+++ b/packages/entry/src/serving/backend_connection.ts
@@ -2,6 +2,7 @@
 
 import type { Socket } from "node:net";
 
+import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import type { Client, Dispatcher } from "undici";
 
 /** Earlier requests of a connection of which a copy of the response is expected. */
@@ -15,15 +16,27 @@
 /** Prefix of the error codes of undici itself. */
 const CLIENT_CODE_PREFIX = "UND_ERR_";
 
+/** What a connection asks of its pool. */
+export interface ConnectionOwner {
+  /** Takes a connection back that may serve another request. */
+  readonly release: (connection: BackendConnection) => void;
+  /** Finds out whether an idle connection to the same server is that old. */
+  readonly hasIdleSince: (address: string, beforeMs: number) => boolean;
+}
+
 /**
  * One connection of the pool. It is destroyed after a request that did not end
  * with a complete response.
  */
 export class BackendConnection {
+  readonly target: SocketAddress;
+  /** The same as `host:port`. */
   readonly address: string;
   readonly client: Client;
   /** Undefined until the connection has been established. */
   socket: Socket | undefined;
+  /** Monotonic time at which it was, in milliseconds. */
+  connectedAtMs = Infinity;
   /** Called when bytes have arrived that are not parsed yet. */
   dataListener: (() => void) | undefined;
   /** Number of requests that this connection has completed. */
@@ -35,23 +48,20 @@
   #isReadingStopped = false;
   /** Monotonic time of the last release, in milliseconds. */
   idleSinceMs = 0;
-  readonly #release: (connection: BackendConnection) => void;
+  readonly #owner: ConnectionOwner;
 
   /**
    * Prepares a connection, which is opened by its first request.
    *
-   * @param address - address of the server
+   * @param target - address of the server
    * @param client - HTTP client that owns the socket
-   * @param release - returns the connection to its pool
+   * @param owner - pool of the connection
    */
-  constructor(
-    address: string,
-    client: Client,
-    release: (connection: BackendConnection) => void,
-  ) {
-    this.address = address;
+  constructor(target: SocketAddress, client: Client, owner: ConnectionOwner) {
+    this.target = target;
+    this.address = formatAddress(target);
     this.client = client;
-    this.#release = release;
+    this.#owner = owner;
   }
 
   /**
@@ -74,7 +84,7 @@
     this.servedCount += 1;
     this.answeredIds = [...this.answeredIds, id].slice(-MAX_ANSWERED_IDS);
     this.idleSinceMs = nowMs;
-    this.#release(this);
+    this.#owner.release(this);
   }
 
   /**
@@ -113,6 +123,17 @@
     return this.socket?.remoteAddress !== undefined;
   }
 
+  /**
+   * Checks whether an idle connection to the same server was made before some
+   * moment and has not ended, so that the process that accepted it still runs.
+   *
+   * @param beforeMs - monotonic time, in milliseconds
+   * @returns false if there is none
+   */
+  hasIdleSiblingSince(beforeMs: number): boolean {
+    return this.#owner.hasIdleSince(this.address, beforeMs);
+  }
+
   /**
    * Whether the connection only receives, since `receiveNext` was called.
    *
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -4,7 +4,10 @@
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import { buildConnector, Client } from "undici";
 
-import { BackendConnection } from "./backend_connection.ts";
+import {
+  BackendConnection,
+  type ConnectionOwner,
+} from "./backend_connection.ts";
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
@@ -40,6 +43,12 @@
   readonly #open = new Map<Client, BackendConnection>();
   readonly #noReuseUntilMs = new Map<string, number>();
   readonly #clock: Clock;
+  readonly #owner: ConnectionOwner = {
+    release: (connection) => {
+      this.#keepIdle(connection);
+    },
+    hasIdleSince: (address, beforeMs) => this.#hasIdleSince(address, beforeMs),
+  };
   #isClosed = false;
 
   /**
@@ -78,7 +87,7 @@
       last === undefined ||
       this.#clock.readMonotonicMs() - last.idleSinceMs > maxIdleMs
     ) {
-      return this.#createConnection(address);
+      return this.#createConnection(target);
     }
     idle?.pop();
     return last;
@@ -91,7 +100,7 @@
    * @returns connection that no request has used
    */
   open(target: SocketAddress): BackendConnection {
-    return this.#createConnection(formatAddress(target));
+    return this.#createConnection(target);
   }
 
   /**
@@ -147,7 +156,8 @@
     await Promise.all([...this.#open.keys()].map((client) => client.destroy()));
   }
 
-  #createConnection(address: string): BackendConnection {
+  #createConnection(target: SocketAddress): BackendConnection {
+    const address = formatAddress(target);
     const { authority } = this.#options;
     const scheme = authority === undefined ? "http" : "https";
     const connect = buildConnector({
@@ -163,6 +173,7 @@
         }
         connect(options, (...outcome) => {
           connection.socket = outcome[1] ?? undefined;
+          connection.connectedAtMs = this.#clock.readMonotonicMs();
           connection.socket?.on("readable", () => {
             connection.dataListener?.();
           });
@@ -174,9 +185,7 @@
       bodyTimeout: 0,
       maxHeaderSize: this.#options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
     });
-    const connection = new BackendConnection(address, client, (released) => {
-      this.#keepIdle(address, released);
-    });
+    const connection = new BackendConnection(target, client, this.#owner);
     this.#open.set(client, connection);
     client.on("disconnect", () => {
       this.#drop(address, connection);
@@ -187,7 +196,15 @@
     return connection;
   }
 
-  #keepIdle(address: string, connection: BackendConnection): void {
+  #hasIdleSince(address: string, beforeMs: number): boolean {
+    const idle = this.#idle.get(address) ?? [];
+    return idle.some(({ connectedAtMs, socket }) =>
+      connectedAtMs < beforeMs && socket?.readable === true
+    );
+  }
+
+  #keepIdle(connection: BackendConnection): void {
+    const { address } = connection;
     if (
       this.#isClosed || !this.#open.has(connection.client) ||
       this.#isReuseSuspended(address)
--- a/packages/entry/src/serving/unread_time.ts
+++ b/packages/entry/src/serving/unread_time.ts
@@ -4,8 +4,8 @@
 
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 
-/** Turns of the event loop in which a connection with unread bytes brings some. */
-const TURNS_OF_A_READ = 3;
+/** Time without a read in which whatever the other side has sent arrives. */
+const QUIET_MS = 200;
 
 /** Dependencies of an {@link UnreadTime}. */
 export interface UnreadTimeOptions {
@@ -15,79 +15,71 @@
 }
 
 /**
- * Follows the reads of one connection. They fall behind what arrives if the process
- * stands still or is busy, and while they are held back for a slow receiver. They
- * have caught up when the connection is read and brings nothing more.
+ * Follows the reads of one connection. They fall behind what is sent by the time for
+ * which they are held back for a slow receiver and for which the process stands
+ * still or is busy. They have caught up once the connection is quiet.
  */
 export class UnreadTime {
   readonly #options: UnreadTimeOptions;
-  #behindSinceMs: number | undefined;
-  #isHeld = false;
-  /** Number of reads, holds and resumes so far. */
-  #changes = 0;
+  /** Length of all holds since the connection was quiet. */
+  #heldMs = 0;
+  #heldSinceMs: number | undefined;
+  /** Longest delay of a read since then. */
+  #delayMs = 0;
+  /** Time of the last read or of the end of the last hold. */
+  #activeAtMs: number;
 
   /**
    * Begins with a connection of which everything has been read.
    *
+   * @param sinceMs - monotonic time of the beginning, in milliseconds
    * @param options - clock, and delay of the event loop
    */
-  constructor(options: UnreadTimeOptions) {
+  constructor(sinceMs: number, options: UnreadTimeOptions) {
     this.#options = options;
+    this.#activeAtMs = sinceMs;
   }
 
   /**
-   * Moment since which bytes or an end that are read next may have lain unread.
+   * Longest time for which what is read now may have lain unread.
    *
-   * @returns monotonic time, in milliseconds; undefined if the reads have caught up
+   * @returns milliseconds, the present hold included
    */
-  get behindSinceMs(): number | undefined {
-    return this.#behindSinceMs;
+  get unreadMs(): number {
+    const sinceMs = this.#heldSinceMs;
+    const heldMs = sinceMs === undefined ? 0 : this.#readMs() - sinceMs;
+    return this.#heldMs + heldMs + this.#delayMs;
   }
 
   /** Observes that bytes or the end were read. */
   observeRead(): void {
-    const delayMs = this.#options.loop?.likelyUnreadMs ?? 0;
-    if (delayMs > 0) {
-      this.#markBehind(this.#options.clock.readMonotonicMs() - delayMs);
+    const nowMs = this.#readMs();
+    const sinceActiveMs = nowMs - this.#activeAtMs;
+    const loopDelayMs = this.#options.loop?.likelyUnreadMs ?? 0;
+    const isHeld = this.#heldSinceMs !== undefined;
+    if (!isHeld && sinceActiveMs - loopDelayMs >= QUIET_MS) {
+      this.#heldMs = 0;
+      this.#delayMs = 0;
     }
-    this.#changes += 1;
-    this.#checkCaughtUp();
+    const delayMs = Math.min(loopDelayMs, sinceActiveMs);
+    this.#delayMs = Math.max(this.#delayMs, delayMs);
+    this.#activeAtMs = nowMs;
   }
 
   /** Observes that reads are held back from now on. */
   observeHold(): void {
-    this.#isHeld = true;
-    this.#changes += 1;
-    this.#markBehind(this.#options.clock.readMonotonicMs());
+    this.#heldSinceMs ??= this.#readMs();
   }
 
   /** Observes that reads go on. */
   observeResume(): void {
-    this.#isHeld = false;
-    this.#changes += 1;
-    this.#checkCaughtUp();
+    const nowMs = this.#readMs();
+    this.#heldMs += nowMs - (this.#heldSinceMs ?? nowMs);
+    this.#heldSinceMs = undefined;
+    this.#activeAtMs = nowMs;
   }
 
-  #markBehind(sinceMs: number): void {
-    this.#behindSinceMs = Math.min(this.#behindSinceMs ?? Infinity, sinceMs);
-  }
-
-  #checkCaughtUp(): void {
-    if (this.#behindSinceMs !== undefined && !this.#isHeld) {
-      this.#waitForTurns(TURNS_OF_A_READ, this.#changes);
-    }
-  }
-
-  #waitForTurns(turns: number, changes: number): void {
-    setImmediate(() => {
-      if (this.#changes !== changes) {
-        return;
-      }
-      if (turns > 1) {
-        this.#waitForTurns(turns - 1, changes);
-      } else {
-        this.#behindSinceMs = undefined;
-      }
-    });
+  #readMs(): number {
+    return this.#options.clock.readMonotonicMs();
   }
 }
--- a/packages/entry/src/serving/unsized_body.ts
+++ b/packages/entry/src/serving/unsized_body.ts
@@ -5,8 +5,22 @@
 import type { AttemptRequest } from "./attempt_message.ts";
 import type { BackendConnection } from "./backend_connection.ts";
 import { SecondResponseDetector } from "./second_response_detector.ts";
+import { ServerWitness } from "./server_witness.ts";
 import { UnreadTime, type UnreadTimeOptions } from "./unread_time.ts";
 
+/** Shortest time in which a server's process ends and another one listens. */
+const MIN_RESTART_MS = 500;
+/** Unread time from which another connection is made. */
+const WITNESS_UNREAD_MS = 100;
+/** Time in which the ends of all connections of a process arrive. */
+const SETTLE_MS = 50;
+
+/** Dependencies of an {@link UnsizedBody}. */
+export interface UnsizedBodyOptions extends UnreadTimeOptions {
+  /** Monotonic time at which the request was sent, in milliseconds. */
+  readonly sentAtMs: number;
+}
+
 /**
  * A body without a length. Its end is the end of its connection, which says little:
  * this class collects what else shows that the server has not sent all of it.
@@ -17,7 +31,11 @@
   readonly #detector: SecondResponseDetector;
   readonly #unreadTime: UnreadTime;
   readonly #clock: Clock;
+  #witness: ServerWitness | undefined;
+  #witnessTimer: NodeJS.Timeout | undefined;
   #maxUnreadMs = 0;
+  /** Earliest time at which the connection may have ended. */
+  #endedAfterMs = Infinity;
   #hasBytes = false;
   #wasReset = false;
   #isVerified = false;
@@ -27,16 +45,16 @@
    *
    * @param connection - connection that brings it
    * @param request - request of the attempt
-   * @param options - clock, and delay of the event loop
+   * @param options - clock, delay of the event loop, and start of the attempt
    */
   constructor(
     connection: BackendConnection,
     request: AttemptRequest,
-    options: UnreadTimeOptions,
+    options: UnsizedBodyOptions,
   ) {
     this.#connection = connection;
     this.#clock = options.clock;
-    this.#unreadTime = new UnreadTime(options);
+    this.#unreadTime = new UnreadTime(options.sentAtMs, options);
     this.#unreadTime.observeRead();
     this.#request = request;
     const { identity, isProven } = request;
@@ -50,7 +68,7 @@
   /**
    * Longest time for which the end may have lain unread.
    *
-   * @returns milliseconds; 0 if the reads had caught up, or before the end
+   * @returns milliseconds; 0 before the end
    */
   get maxUnreadMs(): number {
     return this.#maxUnreadMs;
@@ -59,11 +77,15 @@
   /** Observes that reads are held back from now on. */
   observeHold(): void {
     this.#unreadTime.observeHold();
+    this.#scheduleWitness(WITNESS_UNREAD_MS - this.#unreadTime.unreadMs);
   }
 
   /** Observes that reads go on. */
   observeResume(): void {
     this.#unreadTime.observeResume();
+    if (this.#unreadTime.unreadMs < WITNESS_UNREAD_MS) {
+      clearTimeout(this.#witnessTimer);
+    }
   }
 
   /**
@@ -74,6 +96,9 @@
    */
   observe(chunk: Buffer): boolean {
     this.#unreadTime.observeRead();
+    if (this.#unreadTime.unreadMs >= WITNESS_UNREAD_MS) {
+      this.#scheduleWitness(0);
+    }
     this.#hasBytes ||= chunk.length > 0;
     return !this.#detector.observe(chunk);
   }
@@ -81,8 +106,9 @@
   /** Observes the end of the connection, as soon as it is reported. */
   observeEnd(): void {
     this.#unreadTime.observeRead();
-    const nowMs = this.#clock.readMonotonicMs();
-    this.#maxUnreadMs = nowMs - (this.#unreadTime.behindSinceMs ?? nowMs);
+    const { unreadMs } = this.#unreadTime;
+    this.#maxUnreadMs = unreadMs;
+    this.#endedAfterMs = this.#clock.readMonotonicMs() - unreadMs;
     this.#wasReset = !this.#connection.hasPeer();
   }
 
@@ -109,8 +135,44 @@
       return undefined;
     }
     this.#isVerified = true;
-    return verifyServer().then((isRunning) => {
-      this.#wasReset ||= !isRunning;
+    return this.#hasRunOn(verifyServer).then((hasRunOn) => {
+      this.#wasReset ||= !hasRunOn;
     });
   }
+
+  /** Ends what was opened beside the body's own connection. */
+  close(): void {
+    clearTimeout(this.#witnessTimer);
+    this.#witness?.close();
+  }
+
+  // A server that listens now may have ended and started again since the end of the
+  // body arrived. An older connection that is still open then shows that it has not.
+  async #hasRunOn(verifyServer: () => Promise<boolean>): Promise<boolean> {
+    const restartedAfterMs = this.#endedAfterMs + MIN_RESTART_MS;
+    const isListening = await verifyServer();
+    const nowMs = this.#clock.readMonotonicMs();
+    if (isListening && nowMs < restartedAfterMs) {
+      return true;
+    }
+    if (!isListening && this.#hasConnectionSince(restartedAfterMs)) {
+      await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+    }
+    return this.#hasConnectionSince(restartedAfterMs);
+  }
+
+  #hasConnectionSince(beforeMs: number): boolean {
+    return this.#witness?.hasBeenOpenSince(beforeMs) === true ||
+      this.#connection.hasIdleSiblingSince(beforeMs);
+  }
+
+  #scheduleWitness(delayMs: number): void {
+    if (this.#request.verifyServer === undefined || this.#witness) {
+      return;
+    }
+    clearTimeout(this.#witnessTimer);
+    this.#witnessTimer = setTimeout(() => {
+      this.#witness = new ServerWitness(this.#connection.target, this.#clock);
+    }, delayMs);
+  }
 }
--- a/packages/standins/src/platform/raw_response.ts
+++ b/packages/standins/src/platform/raw_response.ts
@@ -9,9 +9,10 @@
   readonly bytes: string;
   /**
    * How the connection ends after them; `reset` also drops unread bytes, `none`
-   * leaves it open.
+   * leaves it open, `exit` ends all connections of the server in order, as the
+   * kernel does for a process that ends.
    */
-  readonly end: "close" | "reset" | "none";
+  readonly end: "close" | "reset" | "none" | "exit";
 }
 
 /**
@@ -27,6 +28,7 @@
   socket.write(bytes, () => {
     switch (end) {
       case "close":
+      case "exit":
         socket.end();
         break;
       case "reset":
