fix: a server may have ended long before its end was read

Causes, from the VMs' logs (`unreadMs`): (1) the delay of the event loop shows for two turns only; a VM that stood still and was then busy read the end 100 ms later, and 8 ms counted. (2) The kernel of a process that has ended goes on sending: 825 ms of held reads counted, while the server had ended 1.5 s before and the rest of 5.4 MB was on its way. Class: as before, evidence later than its event; the time of the end was taken for the time of its arrival.

Change: ReadFlow in place of UnreadTime. The server may have ended at any time since the first of the reads that led to the end without a pause of 200 ms; a hold or a stall is no pause. EventLoopMonitor remembers the last stall (200 ms or more).

--- a/packages/core/src/evidence/attempt_sample.ts
+++ b/packages/core/src/evidence/attempt_sample.ts
@@ -34,7 +34,7 @@
   /** Size of the response. */
   readonly answerBytes: number;
   /**
-   * Longest time for which the end of a response may have lain unread; undefined
+   * Longest time for which the end of a response may have been on its way or unread; undefined
    * unless it had no length and ended with its connection.
    */
   readonly unreadMs?: number | undefined;
--- a/packages/entry/src/fleet/crash_guard.ts
+++ b/packages/entry/src/fleet/crash_guard.ts
@@ -148,13 +148,13 @@
   }
 
   /**
-   * Finds out whether a server's process still runs.
+   * Finds out whether a server accepts connections, whether or not others do.
    *
    * @param server - identifier and address
-   * @returns false if it refuses connections, whether or not others do too
+   * @returns false if it refuses them or does not answer
    */
-  async verifyRunning({ address }: ProbedServer): Promise<boolean> {
-    return await this.#options.probe.probe(address) !== "refused";
+  async verifyListening({ address }: ProbedServer): Promise<boolean> {
+    return await this.#options.probe.probe(address) === "accepted";
   }
 
   /**
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -218,7 +218,7 @@
   "response-unsized": {
     level: "info",
     meaning:
-      "a server's response had no length and ended with its connection; `bytes` is the size of the body that was read, and its end lay unread for `unreadMs` at most",
+      "a server's response had no length and ended with its connection; `bytes` is the size of the body that was read, and its end was on its way or unread for `unreadMs` at most",
     fields: {
       request: "text",
       server: "text",
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -319,7 +319,7 @@
           request: { id: request.context.id, grant },
         });
       },
-      verifyServer: () => guard.verifyRunning(announced),
+      verifyServer: () => guard.verifyListening(announced),
       complete: (sample) => {
         service.complete(slot, sample, clock.readMonotonicMs());
         this.#log.recordEnded(request, slot, sample);
--- a/packages/entry/src/ports/server_router.ts
+++ b/packages/entry/src/ports/server_router.ts
@@ -37,10 +37,10 @@
    */
   observeNotice?(notice: ServerNotice): void;
   /**
-   * Finds out whether the server's process still runs; absent if the router has no
+   * Finds out whether the server accepts connections; absent if the router has no
    * way to know.
    *
-   * @returns false if it refuses connections
+   * @returns false if it refuses them or does not answer
    */
   readonly verifyServer?: () => Promise<boolean>;
 }
--- a/packages/entry/src/serving/attempt_message.ts
+++ b/packages/entry/src/serving/attempt_message.ts
@@ -18,8 +18,8 @@
   /** Checks that a success proves that the server has run the request. */
   readonly isProven: (head: ResponseHead) => boolean;
   /**
-   * Finds out whether the server still runs; absent if that can't be known. The
-   * kernel ends the connections of a process in order, whatever it was sending.
+   * Finds out whether the server accepts connections; absent if that can't be known.
+   * The kernel ends those of a process in order, whatever it was sending.
    */
   readonly verifyServer?: (() => Promise<boolean>) | undefined;
   /** Called immediately before the first byte; undefined to allow it always. */
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -17,17 +17,17 @@
 } from "./attempt_message.ts";
 import type { BackendConnection } from "./backend_connection.ts";
 import { EarlierCopies } from "./earlier_copies.ts";
+import type { ReadFlowOptions } from "./read_flow.ts";
 import {
   checkResponseFraming,
   computeMaxResponseBytes,
 } from "./response_framing.ts";
-import type { UnreadTimeOptions } from "./unread_time.ts";
 import { UnsizedBody } from "./unsized_body.ts";
 
 const FIRST_UNSUCCESSFUL_STATUS = 300;
 
 /** Dependencies of a {@link BackendAttempt}. */
-export interface BackendAttemptOptions extends UnreadTimeOptions {
+export interface BackendAttemptOptions extends ReadFlowOptions {
   readonly listener: AttemptListener;
 }
 
@@ -157,7 +157,7 @@
       totalMs: this.#clock.readMonotonicMs() - this.#startedAtMs,
       wasConnectionReused: this.#wasConnectionReused,
       answerBytes: this.#responseBytes,
-      unreadMs: this.#unsizedBody?.maxUnreadMs,
+      unreadMs: this.#unsizedBody?.unreadMs,
       wasSent: this.mayHaveRun,
     };
   }
--- a/packages/entry/src/serving/unsized_body.ts
+++ b/packages/entry/src/serving/unsized_body.ts
@@ -4,19 +4,19 @@
 
 import type { AttemptRequest } from "./attempt_message.ts";
 import type { BackendConnection } from "./backend_connection.ts";
+import { ReadFlow, type ReadFlowOptions } from "./read_flow.ts";
 import { SecondResponseDetector } from "./second_response_detector.ts";
 import { ServerWitness } from "./server_witness.ts";
-import { UnreadTime, type UnreadTimeOptions } from "./unread_time.ts";
 
 /** Shortest time in which a server's process ends and another one listens. */
 const MIN_RESTART_MS = 500;
-/** Unread time from which another connection is made. */
-const WITNESS_UNREAD_MS = 100;
+/** Time that reads follow one another after which another connection is made. */
+const WITNESS_DELAY_MS = 100;
 /** Time in which the ends of all connections of a process arrive. */
 const SETTLE_MS = 50;
 
 /** Dependencies of an {@link UnsizedBody}. */
-export interface UnsizedBodyOptions extends UnreadTimeOptions {
+export interface UnsizedBodyOptions extends ReadFlowOptions {
   /** Monotonic time at which the request was sent, in milliseconds. */
   readonly sentAtMs: number;
 }
@@ -29,11 +29,11 @@
   readonly #connection: BackendConnection;
   readonly #request: AttemptRequest;
   readonly #detector: SecondResponseDetector;
-  readonly #unreadTime: UnreadTime;
+  readonly #reads: ReadFlow;
   readonly #clock: Clock;
   #witness: ServerWitness | undefined;
   #witnessTimer: NodeJS.Timeout | undefined;
-  #maxUnreadMs = 0;
+  #unreadMs = 0;
   /** Earliest time at which the connection may have ended. */
   #endedAfterMs = Infinity;
   #hasBytes = false;
@@ -54,8 +54,8 @@
   ) {
     this.#connection = connection;
     this.#clock = options.clock;
-    this.#unreadTime = new UnreadTime(options.sentAtMs, options);
-    this.#unreadTime.observeRead();
+    this.#reads = new ReadFlow(options.sentAtMs, options);
+    this.#reads.observeRead();
     this.#request = request;
     const { identity, isProven } = request;
     const ids = [identity.id, ...connection.answeredIds];
@@ -66,26 +66,23 @@
   }
 
   /**
-   * Longest time for which the end may have lain unread.
+   * Longest time for which the end may have been on its way or unread.
    *
    * @returns milliseconds; 0 before the end
    */
-  get maxUnreadMs(): number {
-    return this.#maxUnreadMs;
+  get unreadMs(): number {
+    return this.#unreadMs;
   }
 
   /** Observes that reads are held back from now on. */
   observeHold(): void {
-    this.#unreadTime.observeHold();
-    this.#scheduleWitness(WITNESS_UNREAD_MS - this.#unreadTime.unreadMs);
+    this.#reads.observeHold();
+    this.#scheduleWitness();
   }
 
   /** Observes that reads go on. */
   observeResume(): void {
-    this.#unreadTime.observeResume();
-    if (this.#unreadTime.unreadMs < WITNESS_UNREAD_MS) {
-      clearTimeout(this.#witnessTimer);
-    }
+    this.#reads.observeResume();
   }
 
   /**
@@ -95,20 +92,17 @@
    * @returns false if a second response follows in them
    */
   observe(chunk: Buffer): boolean {
-    this.#unreadTime.observeRead();
-    if (this.#unreadTime.unreadMs >= WITNESS_UNREAD_MS) {
-      this.#scheduleWitness(0);
-    }
+    this.#reads.observeRead();
+    this.#scheduleWitness();
     this.#hasBytes ||= chunk.length > 0;
     return !this.#detector.observe(chunk);
   }
 
   /** Observes the end of the connection, as soon as it is reported. */
   observeEnd(): void {
-    this.#unreadTime.observeRead();
-    const { unreadMs } = this.#unreadTime;
-    this.#maxUnreadMs = unreadMs;
-    this.#endedAfterMs = this.#clock.readMonotonicMs() - unreadMs;
+    this.#reads.observeRead();
+    this.#unreadMs = this.#reads.durationMs;
+    this.#endedAfterMs = this.#clock.readMonotonicMs() - this.#unreadMs;
     this.#wasReset = !this.#connection.hasPeer();
   }
 
@@ -166,13 +160,12 @@
       this.#connection.hasIdleSiblingSince(beforeMs);
   }
 
-  #scheduleWitness(delayMs: number): void {
-    if (this.#request.verifyServer === undefined || this.#witness) {
-      return;
+  // A body that ends soon needs no witness.
+  #scheduleWitness(): void {
+    if (this.#request.verifyServer !== undefined && !this.#witness) {
+      this.#witnessTimer ??= setTimeout(() => {
+        this.#witness = new ServerWitness(this.#connection.target, this.#clock);
+      }, WITNESS_DELAY_MS);
     }
-    clearTimeout(this.#witnessTimer);
-    this.#witnessTimer = setTimeout(() => {
-      this.#witness = new ServerWitness(this.#connection.target, this.#clock);
-    }, delayMs);
   }
 }
--- a/packages/entry/src/vm/event_loop_monitor.ts
+++ b/packages/entry/src/vm/event_loop_monitor.ts
@@ -8,6 +8,14 @@
 const TURNS_AFTER_TIMER = 2;
 /** Delay of the regular timer from which these turns are observed at once. */
 const LATE_TIMER_MS = 20;
+/** Delay of the regular timer from which the loop counts as having stood still. */
+const MIN_STALL_MS = 200;
+
+/** A time in which the loop stood still, in monotonic milliseconds. */
+interface Stall {
+  readonly startedAtMs: number;
+  readonly endedAtMs: number;
+}
 
 /**
  * Bounds the time for which bytes that are read now have lain unread. Whatever had
@@ -23,6 +31,7 @@
   #timerDueAtMs = Infinity;
   #timerDelayMs = 0;
   #timerTurn = -Infinity;
+  #lastStall: Stall = { startedAtMs: -Infinity, endedAtMs: -Infinity };
   readonly #delays: RecentMaximum;
   readonly #queueing: RecentMaximum;
 
@@ -72,9 +81,28 @@
     this.#timerDueAtMs = dueAtMs;
   }
 
+  /**
+   * Finds the last time in which the loop stood still, going by the regular timer.
+   *
+   * @param afterMs - monotonic time, in milliseconds
+   * @returns its start; undefined if it had ended by `afterMs`
+   */
+  findStallStart(afterMs: number): number | undefined {
+    const nowMs = this.#clock.readMonotonicMs();
+    const { startedAtMs, endedAtMs } =
+      nowMs - this.#timerDueAtMs >= MIN_STALL_MS
+        ? this.#computeStall(nowMs)
+        : this.#lastStall;
+    return endedAtMs > afterMs ? startedAtMs : undefined;
+  }
+
   /** Observes that the regular timer runs, which is the beginning of a turn. */
   observeTimer(): void {
-    const delayMs = this.#clock.readMonotonicMs() - this.#timerDueAtMs;
+    const nowMs = this.#clock.readMonotonicMs();
+    const delayMs = nowMs - this.#timerDueAtMs;
+    if (delayMs >= MIN_STALL_MS) {
+      this.#lastStall = this.#computeStall(nowMs);
+    }
     this.#timerDelayMs = delayMs;
     this.#timerTurn = this.#turn;
     this.#timerDueAtMs = Infinity;
@@ -120,6 +148,16 @@
     });
   }
 
+  // Two stalls with little time between them count as one.
+  #computeStall(endedAtMs: number): Stall {
+    const { startedAtMs, endedAtMs: lastEndedAtMs } = this.#lastStall;
+    const isSame = this.#timerDueAtMs - lastEndedAtMs < MIN_STALL_MS;
+    return {
+      startedAtMs: isSame ? startedAtMs : this.#timerDueAtMs,
+      endedAtMs,
+    };
+  }
+
   /**
    * Records by how much something ran later than it could have run.
    *
