--- a/packages/ctl/src/cli/build_cli.ts
+++ b/packages/ctl/src/cli/build_cli.ts
@@ -1,5 +1,6 @@
 /** Registers all commands of limpetctl. */
 
+import { BUILD } from "@limpetford/domain/build";
 import { Builtins, Cli } from "clipanion";
 
 import {
@@ -29,7 +30,7 @@
 import { TeamListCommand, TeamShowCommand } from "../commands/team_commands.ts";
 import type { CtlContext } from "./ctl_command.ts";
 
-const VERSION = "0.1.0";
+const VERSION = `0.1.0+${BUILD}`;
 
 /**
  * Builds the command-line parser.
--- a/packages/ctl/src/cli/build_cli_test.ts
+++ b/packages/ctl/src/cli/build_cli_test.ts
@@ -52,7 +52,13 @@
     if (call.path.includes("explain?id=lost")) {
       return Promise.resolve(makeError({ kind: "vm-refused", cause: "404" }));
     }
-    const response = { path: call.path, version: 3, shards: [1, 2] };
+    const response = {
+      // Another VM runs a build that does not say which it is.
+      ...address.host === "127.0.0.1" ? { build: "1296c69" } : {},
+      path: call.path,
+      version: 3,
+      shards: [1, 2],
+    };
     return Promise.resolve(makeOk(response));
   }
 }
--- a/packages/ctl/src/commands/fleet_commands.ts
+++ b/packages/ctl/src/commands/fleet_commands.ts
@@ -104,6 +104,7 @@
         "?",
         "not listed",
         view.address,
+        findBuild(view),
         formatValue(view.answer),
       ]);
       return {
@@ -112,7 +113,7 @@
           ? []
           : [`The VM list is unavailable: ${list.error.cause}`],
         table: {
-          head: ["vm", "zone", "state", "operator address", "answer"],
+          head: ["vm", "zone", "state", "operator address", "build", "answer"],
           rows: [...listed, ...others],
         },
       };
@@ -181,6 +182,12 @@
   return `/.limpetford/services?name=${encodeURIComponent(service)}`;
 }
 
+// A VM of an earlier build does not say it.
+function findBuild({ answer }: VmView): string {
+  const build = (answer as { readonly build?: unknown } | null)?.build;
+  return typeof build === "string" ? build : "";
+}
+
 function formatVm(
   entry: VmListEntry,
   view: VmView | undefined,
@@ -190,6 +197,7 @@
     entry.vm.zone,
     entry.state,
     view?.address ?? "",
+    view === undefined ? "" : findBuild(view),
     view === undefined ? "" : formatValue(view.answer),
   ];
 }
--- a/packages/entry/src/command/vm_process.ts
+++ b/packages/entry/src/command/vm_process.ts
@@ -3,6 +3,7 @@
 import { randomInt } from "node:crypto";
 
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
+import { BUILD } from "@limpetford/domain/build";
 import { formatAddress } from "@limpetford/domain/vm";
 import { HttpLogService } from "@limpetford/platform/http/http_log_service";
 import { HttpVmList } from "@limpetford/platform/http/http_vm_list";
@@ -121,6 +122,7 @@
     const caller = await vm.start();
     this.#log.record({
       kind: "started",
+      build: BUILD,
       caller: formatAddress(caller),
       operator: formatAddress(vm.settings.operatorAddress),
     });
--- a/packages/entry/src/fleet/fleet_gauges.ts
+++ b/packages/entry/src/fleet/fleet_gauges.ts
@@ -1,5 +1,6 @@
 /** Prometheus gauges of a VM in the fleet. */
 
+import { BUILD } from "@limpetford/domain/build";
 import { SERVER_STATE } from "@limpetford/domain/service";
 import type { StoreClient } from "@limpetford/platform/store/store_client";
 
@@ -36,6 +37,7 @@
 ): void {
   const { state, peers, balancers, limits, client, loop, callerServer } =
     sources;
+  metrics.addInfo("build_info", "build that the VM runs", { build: BUILD });
   metrics.addGauge(
     "loop_delay_seconds",
     "longest delay of timers and requests within the last one to two seconds",
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "@limpetford/core/time/clock";
 import type { RandomSource } from "@limpetford/core/time/random_source";
+import { BUILD } from "@limpetford/domain/build";
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import { FleetCallClient } from "@limpetford/peer/fleet_calls";
 import { StoreClient } from "@limpetford/platform/store/store_client";
@@ -295,6 +296,7 @@
     await this.#directory.start([directoryAddress, readyAddress]);
     await this.#callerServer.start();
     this.#dependencies.log.record("started", {
+      build: BUILD,
       caller: formatAddress(self.callerAddress),
       peer: formatAddress(self.peerAddress),
       zone: self.zone,
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -11,7 +11,7 @@
   "started": {
     level: "info",
     meaning: "the VM listens on its addresses",
-    fields: { caller: "text", peer: "text", zone: "text" },
+    fields: { build: "text", caller: "text", peer: "text", zone: "text" },
   },
   "start-failed": {
     level: "error",
--- a/packages/entry/src/telemetry/prometheus_metrics.ts
+++ b/packages/entry/src/telemetry/prometheus_metrics.ts
@@ -85,6 +85,26 @@
     });
   }
 
+  /**
+   * Adds a gauge that is always 1 and tells what does not change by its labels.
+   *
+   * @param name - name without the prefix `limpetford_`
+   * @param help - what the labels tell
+   * @param labels - label values by name
+   */
+  addInfo(
+    name: string,
+    help: string,
+    labels: Readonly<Record<string, string>>,
+  ): void {
+    new Gauge({
+      name: `${PREFIX}${name}`,
+      help,
+      labelNames: Object.keys(labels),
+      registers: [this.#registry],
+    }).set(labels, 1);
+  }
+
   /**
    * Renders all metrics.
    *
--- a/packages/entry/src/telemetry/prometheus_metrics_test.ts
+++ b/packages/entry/src/telemetry/prometheus_metrics_test.ts
@@ -12,6 +12,7 @@
     metrics.count("requests", "answer:relayed");
     metrics.recordDuration("request_ms", 30);
     metrics.addGauge("servers", "backend servers", () => 3);
+    metrics.addInfo("build_info", "build", { build: "1296c69" });
     expect(await metrics.render()).toMatchSnapshot();
   });
 
--- a/packages/entry/src/telemetry/state_log.ts
+++ b/packages/entry/src/telemetry/state_log.ts
@@ -8,6 +8,7 @@
 export type StateEvent =
   | {
     readonly kind: "started";
+    readonly build: string;
     readonly caller: string;
     readonly operator: string;
   }
--- a/packages/entry/src/vm/vm_operator_source.ts
+++ b/packages/entry/src/vm/vm_operator_source.ts
@@ -1,6 +1,7 @@
 /** Status documents and commands of one VM for its operators. */
 
 import type { FactBus } from "@limpetford/core/gossip/fact_bus";
+import { BUILD } from "@limpetford/domain/build";
 import { type KeyHash, type ServiceId, toId } from "@limpetford/domain/ids";
 import { formatIncarnation } from "@limpetford/domain/vm";
 
@@ -40,6 +41,7 @@
     const { configuration } = ports;
     return {
       vm: settings.self.incarnation.vm,
+      build: BUILD,
       incarnation: formatIncarnation(settings.self.incarnation),
       zone: settings.self.zone,
       region: settings.self.region,
