fix: a VM that was started again hears the builds of the others

A VM said its build with its record only.

Change: each message has the build, and one without it is of an earlier build. The test "are said with the record alone" asked for the wrong thing and is replaced by "are told to a VM that another one knows from its earlier process", red before (no line).

A flag by which the receiver confirms the build would be as long.

--- a/packages/entry/src/fleet/peer_builds.ts
+++ b/packages/entry/src/fleet/peer_builds.ts
@@ -26,11 +26,10 @@
   /**
    * Logs the build of a message's sender if no VM with it was seen before.
    *
-   * @param message - message from another VM; only one with the sender's record
-   * says its build
+   * @param message - message from another VM
    */
-  observe({ from, record, build = UNSAID_BUILD }: SyncMessage): void {
-    if (record !== undefined && !this.#seen.has(build)) {
+  observe({ from, build = UNSAID_BUILD }: SyncMessage): void {
+    if (!this.#seen.has(build)) {
       this.#seen.add(build);
       this.#log.record("peer-build-differs", { peer: from, build });
     }
--- a/packages/entry/src/fleet/peer_builds_test.ts
+++ b/packages/entry/src/fleet/peer_builds_test.ts
@@ -43,20 +43,23 @@
     ]);
   });
 
-  it("are said with the record alone, which is sent until it has arrived", () => {
-    const [a, b] = [createSide("a", "today"), createSide("b", "yesterday")];
-    const builds: (readonly (string | undefined)[])[] = [];
-    for (let round = 0; round < 3; round++) {
-      const message = buildMessage(a, b);
-      b.messages.apply(message, -Infinity);
-      const reply = buildMessage(b, a);
-      a.messages.apply(reply, clock.readMonotonicMs());
-      builds.push([message.build, reply.build]);
+  it("are told to a VM that another one knows from its earlier process", () => {
+    const before = createSide("a", "today");
+    const b = createSide("b", "yesterday");
+    for (let round = 0; round < 2; round++) {
+      b.messages.apply(buildMessage(before, b), -Infinity);
+      before.messages.apply(buildMessage(b, before), -Infinity);
     }
-    expect(builds).toEqual([
-      ["today", "yesterday"],
-      [undefined, undefined],
-      [undefined, undefined],
+    const options = { build: "today", startedAtMs: 2 };
+    const after = new ExchangeSide("a", clock, options);
+    after.state.applyVm(b.self);
+    const record = jest.spyOn(after.log, "record");
+    // The other VM has not heard of the new process when it sends the first one.
+    after.messages.apply(buildMessage(b, before), -Infinity);
+    b.messages.apply(buildMessage(after, b), -Infinity);
+    after.messages.apply(buildMessage(b, after), -Infinity);
+    expect(record.mock.calls).toEqual([
+      ["peer-build-differs", { peer: "b", build: "yesterday" }],
     ]);
   });
 });
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -230,9 +230,8 @@
       ...peer?.clockMs === undefined
         ? {}
         : { echo: { startedAtMs: peer.startedAtMs, clockMs: peer.clockMs } },
-      ...peer?.hasOwnRecord === true
-        ? {}
-        : { record: self, build: this.#build },
+      ...peer?.hasOwnRecord === true ? {} : { record: self },
+      build: this.#build,
       knowsReceiver: peer !== undefined,
       isLeaving: peers.isLeaving,
       leads: peers.listLeaders().flatMap((vm) => peers.readClaim(vm) ?? []),
--- a/packages/peer/src/fleet_sync.ts
+++ b/packages/peer/src/fleet_sync.ts
@@ -127,10 +127,7 @@
   readonly echo?: ClockEcho;
   /** Record of the sender, for a receiver that may not have it. */
   readonly record?: Vm;
-  /**
-   * Build of the sender, sent with `record`; absent in messages of VMs that run
-   * an earlier version.
-   */
+  /** Build of the sender; absent in messages of VMs that run an earlier version. */
   readonly build?: string;
   /** True if the sender has the receiver's record. */
   readonly knowsReceiver: boolean;
