--- a/packages/peer/src/message_codec.ts
+++ b/packages/peer/src/message_codec.ts
@@ -13,9 +13,12 @@
 /** Longest message that is accepted, against memory exhaustion. */
 const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
 
-// Text as it stands in nearly every message. Compression refers to it instead of
-// repeating it; the most frequent parts come last.
-const DICTIONARY = Buffer.from(
+/**
+ * Text as it stands in nearly every message. Compression refers to it instead of
+ * repeating it; the most frequent parts come last. Another text is another
+ * version, since VMs of other builds have this one.
+ */
+export const MESSAGE_DICTIONARY = Buffer.from(
   [
     '"serverLimits":[{"server":"i-","startedAtMs":17,"requestsPerSecond":',
     '"suspicions":{"rows":[{"fingerprint":"","generation":0,"status":"","runs":[]',
@@ -49,7 +52,7 @@
 export function encodeMessage(message: unknown, isCompressed: boolean): Buffer {
   const text = Buffer.from(JSON.stringify(message), "utf8");
   return isCompressed
-    ? deflateRawSync(text, { dictionary: DICTIONARY, memLevel: 5 })
+    ? deflateRawSync(text, { dictionary: MESSAGE_DICTIONARY, memLevel: 5 })
     : text;
 }
 
@@ -63,7 +66,7 @@
 export function decodeMessage(bytes: Buffer, isCompressed: boolean): unknown {
   const text = isCompressed
     ? inflateRawSync(bytes, {
-      dictionary: DICTIONARY,
+      dictionary: MESSAGE_DICTIONARY,
       maxOutputLength: MAX_MESSAGE_BYTES,
     })
     : bytes;
