--- a/packages/entry/src/fakes/recorded_exchange.ts
+++ b/packages/entry/src/fakes/recorded_exchange.ts
@@ -19,6 +19,7 @@
 import { buildForwardingHeader } from "../dialect/forwarding_headers.ts";
 import { buildEmptyConfiguration } from "./empty_configuration.ts";
 import { buildExchangeVm, ExchangeSide } from "./exchange_side.ts";
+import { buildPlacementRequest } from "./placement_request.ts";
 
 const PEER_PORT = 8_090;
 const ERA = 1;
@@ -136,6 +137,14 @@
   const messages: Record<string, unknown> = {};
   const leader = new ExchangeSide("b", clock);
   const follower = new ExchangeSide("a", clock, {
+    limiter: {
+      sendTokenRequest: (_vm, request) => {
+        messages["tokenRequest"] = request;
+        const reply = leader.limiter.handleTokenRequest(request);
+        messages["tokenReply"] = reply;
+        return Promise.resolve(reply);
+      },
+    },
     calls: {
       sendServerTokenRequest: (request: ServerTokenRequest) => {
         messages["serverTokenRequest"] = request;
@@ -177,6 +186,7 @@
     evidence: [[SERVER.id, EVIDENCE.failure, true]],
     ...leader.crashes.suspicions.takeNotice(),
   };
+  await follower.limiter.acquire(TEAM, buildPlacementRequest("q").context);
   // The first one finds no token yet.
   await follower.limits.client.take(SERVER, 0);
   clock.advance(100);
--- a/packages/entry/src/fleet/recorded_messages_test.ts
+++ b/packages/entry/src/fleet/recorded_messages_test.ts
@@ -12,6 +12,8 @@
   SERVER_TOKEN_REPLY_SCHEMA,
   SERVER_TOKEN_REQUEST_SCHEMA,
   SYNC_MESSAGE_SCHEMA,
+  TOKEN_REPLY_SCHEMA,
+  TOKEN_REQUEST_SCHEMA,
 } from "@limpetford/peer/message_schemas";
 import { decodeStoreEra } from "@limpetford/platform/store/store_era_codec";
 import { decodeSuspicion } from "@limpetford/platform/store/suspicion_codec";
@@ -34,6 +36,8 @@
   second: SYNC_MESSAGE_SCHEMA,
   secondReply: SYNC_MESSAGE_SCHEMA,
   evidence: EVIDENCE_SCHEMA,
+  tokenRequest: TOKEN_REQUEST_SCHEMA,
+  tokenReply: TOKEN_REPLY_SCHEMA,
   serverTokenRequest: SERVER_TOKEN_REQUEST_SCHEMA,
   "serverTokenReply refused": SERVER_TOKEN_REPLY_SCHEMA,
   "serverTokenReply granted": SERVER_TOKEN_REPLY_SCHEMA,
