fix: whether a run was given up is checked like the rest of a message

The check of messages did not name wasGivenUp, so any value passed; one that is not true counts as false, which may quarantine a request.

Red before: malformed_message_test, as a call and as a reply.

--- a/packages/peer/src/malformed_message_test.ts
+++ b/packages/peer/src/malformed_message_test.ts
@@ -60,6 +60,19 @@
     ...MESSAGE,
     servers: { ...MESSAGE.servers, changes: [{ server: {} }] },
   }],
+  ["a run of which it is unclear whether it was given up", {
+    ...MESSAGE,
+    suspicions: {
+      rows: [{
+        fingerprint: "f",
+        generation: 0,
+        status: "suspect",
+        runs: [{ id: "r", server: "i", ranMs: 1, ageMs: 1, wasGivenUp: "no" }],
+      }],
+      revision: 1,
+      seenRevision: 0,
+    },
+  }],
   ["a configuration without routes", {
     ...MESSAGE,
     configuration: { version: 9 },
--- a/packages/peer/src/message_schemas.ts
+++ b/packages/peer/src/message_schemas.ts
@@ -94,6 +94,7 @@
     ranMs: number,
     ageMs: number,
     wasServerRunning: z.boolean().optional(),
+    wasGivenUp: z.boolean().optional(),
   })),
 }));
 const serverLimit = z.object({
