--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -11,7 +11,7 @@
   "started": {
     level: "info",
     meaning: "the VM listens on its addresses",
-    fields: { caller: "text", peer: "text", zone: "text" },
+    fields: { build: "text", caller: "text", peer: "text", zone: "text" },
   },
   "start-failed": {
     level: "error",
@@ -129,6 +129,12 @@
       "another VM runs an earlier version; its configuration and servers are not read",
     fields: { peer: "text" },
   },
+  "peer-build-differs": {
+    level: "info",
+    meaning:
+      "the first VM of another build was heard; `none` if its build is too old to say which",
+    fields: { peer: "text", build: "text" },
+  },
   "peer-regained": {
     level: "info",
     meaning: "another VM responds again",
--- a/packages/peer/src/message_schemas.ts
+++ b/packages/peer/src/message_schemas.ts
@@ -94,6 +94,7 @@
     ranMs: number,
     ageMs: number,
     wasServerRunning: z.boolean().optional(),
+    wasGivenUp: z.boolean().optional(),
   })),
 }));
 const serverLimit = z.object({
@@ -110,6 +111,7 @@
   clockMs: z.number(),
   echo: clockReading.optional(),
   record: vm.optional(),
+  build: z.string().optional(),
   knowsReceiver: z.boolean(),
   isLeaving: z.boolean(),
   leads: z.array(z.object({
