test: parts look whole where the server's host is gone, or its end arrives late

The check counts "unanswered" (also EHOSTUNREACH) as a server that runs. The VM's own reads were not late, so nothing that it can measure of itself shows this.

--- a/packages/standins/src/fleet/link_fault_preload.cjs
+++ b/packages/standins/src/fleet/link_fault_preload.cjs
@@ -14,7 +14,7 @@
   const [first] = args;
   const options = Array.isArray(first) ? first[0] : first;
   const port = Number(options?.port);
-  if (ports.has(port) && fault === "silent") {
+  if (ports.has(port) && (fault === "silent" || fault === "new-silent")) {
     this.connecting = true;
     return this;
   }
--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -22,6 +22,8 @@
   refused: "refused",
   /** Open connections live on, new ones are refused. */
   newRefused: "new-refused",
+  /** Open connections live on, new ones get no answer. */
+  newSilent: "new-silent",
 } as const;
 /** One of the faults in `SERVER_LINK_FAULT`. */
 export type ServerLinkFault =
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -196,6 +196,13 @@
     await closed;
   }
 
+  /** Ends all connections in order, as the kernel does for a process that ends. */
+  closeConnections(): void {
+    for (const socket of this.#sockets) {
+      socket.end();
+    }
+  }
+
   /**
    * Crashes: resets all connections and refuses new ones.
    *
