fix: a second response behind a whole head that is none is found

Callers would see the body of an answer without a length with a second response at its end, as whole, where an informational response (or text with a status line and a blank line) comes between the two and all is shorter than 16 KiB.

Cause: behind a status line that was no response the detector waited for up to 16 KiB, also where that head had ended, and the body ended before. Ruled out: the packets (the same in one and in two).

Change: a head that has ended and is no response is passed over at once.

Before: second_response_detector_test, "finds one behind a whole head that is no response": 2 of 2 red (Expected: true, Received: false). After: 38 of 38 of second_response_detector_test and backend_attempt_test pass.

--- a/packages/entry/src/serving/second_response_detector.ts
+++ b/packages/entry/src/serving/second_response_detector.ts
@@ -7,6 +7,7 @@
 /** Bytes from a status line on that are read as the head of a response. */
 const MAX_HEAD_BYTES = 16_384;
 const LINE_END = "\r\n";
+const HEAD_END = LINE_END + LINE_END;
 
 /**
  * Looks for a response in a body that ends with its connection. A server that
@@ -48,7 +49,7 @@
       if (this.#isResponse(head)) {
         return true;
       }
-      if (this.#text.length < MAX_HEAD_BYTES) {
+      if (text.length < MAX_HEAD_BYTES && !text.includes(HEAD_END)) {
         return false;
       }
       this.#text = this.#text.slice(STATUS_LINE_LENGTH);
@@ -58,7 +59,7 @@
 
 // Reads the complete header lines behind a status line.
 function parseHeaders(text: string): Readonly<Record<string, string>> {
-  const end = text.indexOf(LINE_END + LINE_END);
+  const end = text.indexOf(HEAD_END);
   const lines = text.slice(0, end < 0 ? undefined : end + LINE_END.length)
     .split(LINE_END).slice(1, -1);
   const headers: Record<string, string> = {};
--- a/packages/entry/src/serving/second_response_detector_test.ts
+++ b/packages/entry/src/serving/second_response_detector_test.ts
@@ -38,6 +38,14 @@
     expect(detectIn([text, SECOND])).toBe(true);
   });
 
+  it.each(["HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 404 \r\n\r\nbody "])(
+    "finds one behind a whole head that is no response: %j",
+    (text) => {
+      expect(detectIn([`body${text}${SECOND}`])).toBe(true);
+      expect(detectIn([`body${text}`, SECOND])).toBe(true);
+    },
+  );
+
   it.each([
     "body",
     "",
