fix: a second response without a reason phrase is found

Callers would see it at the end of an answer without a length, as part of a whole body: parsers (llhttp, also the VM's own) take "HTTP/1.1 200" with neither a blank nor a reason phrase for a status line, and the detector wanted the blank.

Ruled out: an empty reason phrase behind a blank was found before.

Change: the code may be followed by the end of the line.

Before: second_response_detector_test "finds one without a reason phrase" red (Expected: true, Received: false), 1 of 14. After: 39 of 39 of second_response_detector_test and backend_attempt_test pass.

--- a/packages/entry/src/serving/second_response_detector.ts
+++ b/packages/entry/src/serving/second_response_detector.ts
@@ -2,7 +2,7 @@
 
 import type { ResponseHead } from "./attempt_listener.ts";
 
-const STATUS_LINE = /HTTP\/1\.[01] ([1-5][0-9]{2}) /;
+const STATUS_LINE = /HTTP\/1\.[01] ([1-5][0-9]{2})[ \r]/;
 const STATUS_LINE_LENGTH = "HTTP/1.1 200 ".length;
 /** Bytes from a status line on that are read as the head of a response. */
 const MAX_HEAD_BYTES = 16_384;
--- a/packages/entry/src/serving/second_response_detector_test.ts
+++ b/packages/entry/src/serving/second_response_detector_test.ts
@@ -26,6 +26,10 @@
     },
   );
 
+  it("finds one without a reason phrase, which parsers accept", () => {
+    expect(detectIn([`body${SECOND.replace("200 OK", "200")}`])).toBe(true);
+  });
+
   it("finds one that is cut anywhere", () => {
     const text = `HTTP/1.1 body HTTP/1.1 200 ${SECOND}`;
     for (let at = 1; at < text.length; at++) {
