--- a/packages/entry/src/http/reset_socket_test.ts
+++ b/packages/entry/src/http/reset_socket_test.ts
@@ -1,6 +1,7 @@
 // Guards against a process that hangs at exit: in Node 20 a socket that is
 // reset after `end` keeps its handle open.
 import { spawnSync } from "node:child_process";
+import * as net from "node:net";
 
 import { resetSocket } from "./reset_socket.ts";
 
@@ -36,4 +37,12 @@
   it("lets the process exit after a socket was ended and reset", () => {
     expect(runProcess(resetSocket.toString())).toBe(0);
   });
+
+  // Otherwise a server that gives no answer holds one for two minutes.
+  it("closes a socket that is still connecting", () => {
+    const socket = net.connect({ host: "127.0.0.1", port: 1 });
+    socket.on("error", () => undefined);
+    resetSocket(socket);
+    expect(socket.destroyed).toBe(true);
+  });
 });
