--- a/packages/entry/src/serving/second_response_detector_test.ts
+++ b/packages/entry/src/serving/second_response_detector_test.ts
@@ -26,6 +26,10 @@
     },
   );
 
+  it("finds one without a reason phrase, which parsers accept", () => {
+    expect(detectIn([`body${SECOND.replace("200 OK", "200")}`])).toBe(true);
+  });
+
   it("finds one that is cut anywhere", () => {
     const text = `HTTP/1.1 body HTTP/1.1 200 ${SECOND}`;
     for (let at = 1; at < text.length; at++) {
@@ -38,6 +42,14 @@
     expect(detectIn([text, SECOND])).toBe(true);
   });
 
+  it.each(["HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 404 \r\n\r\nbody "])(
+    "finds one behind a whole head that is no response: %j",
+    (text) => {
+      expect(detectIn([`body${text}${SECOND}`])).toBe(true);
+      expect(detectIn([`body${text}`, SECOND])).toBe(true);
+    },
+  );
+
   it.each([
     "body",
     "",
