fix: a body of status lines no longer blocks a VM

Cause: SecondResponseDetector read up to 16 KiB behind each status line. Change: the head ends at the first line that is no header, or after 64 headers. Red before: "reads a megabyte of them in a moment", 500 ms wanted. After: green; second_response_detector_test unchanged and green.

--- a/packages/entry/src/serving/second_response_detector.ts
+++ b/packages/entry/src/serving/second_response_detector.ts
@@ -6,8 +6,15 @@
 const STATUS_LINE_LENGTH = "HTTP/1.1 200 ".length;
 /** Bytes from a status line on that are read as the head of a response. */
 const MAX_HEAD_BYTES = 16_384;
+/** Header lines that are read of it. */
+const MAX_HEADERS = 64;
 const LINE_END = "\r\n";
-const HEAD_END = LINE_END + LINE_END;
+
+// What may be the head of a response.
+interface HeadCandidate extends ResponseHead {
+  /** True if what follows cannot add a header. */
+  readonly isWhole: boolean;
+}
 
 /**
  * Looks for a response in a body that ends with its connection. A server that
@@ -44,12 +51,14 @@
         return false;
       }
       this.#text = this.#text.slice(match.index);
-      const text = this.#text.slice(0, MAX_HEAD_BYTES);
-      const head = { status: Number(match[1]), headers: parseHeaders(text) };
+      const head = parseHead(
+        Number(match[1]),
+        this.#text.slice(0, MAX_HEAD_BYTES),
+      );
       if (this.#isResponse(head)) {
         return true;
       }
-      if (text.length < MAX_HEAD_BYTES && !text.includes(HEAD_END)) {
+      if (!head.isWhole) {
         return false;
       }
       this.#text = this.#text.slice(STATUS_LINE_LENGTH);
@@ -57,18 +66,23 @@
   }
 }
 
-// Reads the complete header lines behind a status line.
-function parseHeaders(text: string): Readonly<Record<string, string>> {
-  const end = text.indexOf(HEAD_END);
-  const lines = text.slice(0, end < 0 ? undefined : end + LINE_END.length)
-    .split(LINE_END).slice(1, -1);
+// Reads the complete header lines behind a status line, up to one that is none.
+function parseHead(status: number, text: string): HeadCandidate {
   const headers: Record<string, string> = {};
-  for (const line of lines) {
+  let lineEnd = text.indexOf(LINE_END);
+  for (let count = 0; lineEnd >= 0 && count < MAX_HEADERS; count++) {
+    const start = lineEnd + LINE_END.length;
+    lineEnd = text.indexOf(LINE_END, start);
+    const line = text.slice(start, Math.max(start, lineEnd));
     const colon = line.indexOf(":");
-    if (colon > 0) {
+    if (lineEnd >= 0 && colon <= 0) {
+      return { status, headers, isWhole: true };
+    }
+    if (lineEnd >= 0) {
       const name = line.slice(0, colon).toLowerCase();
       headers[name] = line.slice(colon + 1).trim();
     }
   }
-  return headers;
+  const isWhole = lineEnd >= 0 || text.length >= MAX_HEAD_BYTES;
+  return { status, headers, isWhole };
 }
