fix: a second response is found by its signature too

Cause: an identifier that is not known on the connection counted as plain text, also with a server's signature. Change: a head that proves a server's response ends the first one, whatever it names. Red before: "fails if a second response bears the identifier of another request". After: green.

--- a/packages/entry/src/serving/unsized_body.ts
+++ b/packages/entry/src/serving/unsized_body.ts
@@ -61,7 +61,7 @@
     const ids = [identity.id, ...connection.answeredIds];
     this.#detector = new SecondResponseDetector((head) => {
       const id = identity.readId(head.headers);
-      return id === undefined ? isProven(head) : ids.includes(id);
+      return (id !== undefined && ids.includes(id)) || isProven(head);
     });
   }
 
