fix: a copy that breaks off within a header gives no status

Cause: the parser reads the second status line as the rest of the header's value. Change: on a connection that has brought responses, a head with a status line within a header belongs to no request. Red before: "takes no status from a copy that breaks off within its head". After: green.

--- a/packages/entry/src/serving/attempt_message.ts
+++ b/packages/entry/src/serving/attempt_message.ts
@@ -4,6 +4,8 @@
 
 import type { ResponseHead } from "./attempt_listener.ts";
 
+const STATUS_LINE = /HTTP\/1\.[01] [1-5][0-9]{2}/;
+
 /** The HTTP request of one attempt. */
 export interface AttemptRequest {
   readonly method: string;
@@ -56,14 +58,17 @@
  * @param headers - headers of the response
  * @param answeredIds - identifiers of requests that were answered before on the
  * same connection, the oldest first
- * @returns the attempt unless the response bears another identifier, or none on a
- * connection that has brought others
+ * @returns the attempt unless the response bears another identifier, or, on a
+ * connection that has brought others, none or a status line within a header
  */
 export function findResponseOwner(
   { id, readId, isAlwaysNamed }: ResponseIdentity,
   headers: ResponseHead["headers"],
   answeredIds: readonly string[],
 ): ResponseOwner {
+  if (answeredIds.length > 0 && Object.values(headers).some(hasStatusLine)) {
+    return RESPONSE_OWNER.other;
+  }
   const responseId = readId(headers);
   if (responseId === undefined) {
     return isAlwaysNamed && answeredIds.length > 0
@@ -77,3 +82,9 @@
     ? RESPONSE_OWNER.earlier
     : RESPONSE_OWNER.other;
 }
+
+// A copy of an earlier response that breaks off within a header swallows the status
+// line of the response behind it.
+function hasStatusLine(value: string | string[] | undefined): boolean {
+  return STATUS_LINE.test(String(value));
+}
