fix: a response with an unknown transfer coding is malformed

Cause: a coding besides `chunked` counted as a response without a length, and a hop's header is dropped on the way. Change: such a response is malformed (retry, or 502), on both paths. Red before: both rows of "fails", of gzip with and without chunks.

--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -21,6 +21,7 @@
 import {
   checkResponseFraming,
   computeMaxResponseBytes,
+  hasUnknownCoding,
 } from "./response_framing.ts";
 import { UnsizedBody } from "./unsized_body.ts";
 
@@ -209,25 +210,23 @@
       return;
     }
     this.#firstByteAtMs = this.#clock.readMonotonicMs();
+    const { request } = this;
     const { answeredIds } = this.#connection;
-    const { identity } = this.request;
-    const owner = findResponseOwner(identity, headers, answeredIds);
+    const owner = findResponseOwner(request.identity, headers, answeredIds);
     if (owner === RESPONSE_OWNER.earlier) {
       this.#dropCopy();
       return;
     }
     this.#isSuccess = status < FIRST_UNSUCCESSFUL_STATUS;
-    if (!checkResponseFraming(this.request.method, status, headers)) {
-      this.#unsizedBody = new UnsizedBody(
-        this.#connection,
-        this.request,
-        { ...this.#options, sentAtMs: this.#sentAtMs ?? this.#startedAtMs },
-      );
+    if (!checkResponseFraming(request.method, status, headers)) {
+      const sentAtMs = this.#sentAtMs ?? this.#startedAtMs;
+      const options = { ...this.#options, sentAtMs };
+      this.#unsizedBody = new UnsizedBody(this.#connection, request, options);
     }
-    const isDelimited = this.#unsizedBody === undefined ||
-      this.request.mayEndWithConnection;
+    const isDelimited = !hasUnknownCoding(headers) &&
+      (this.#unsizedBody === undefined || request.mayEndWithConnection);
     const isProven = !this.#isSuccess ||
-      this.request.isProven({ status, headers });
+      request.isProven({ status, headers });
     if (
       owner === RESPONSE_OWNER.other || !isDelimited || !isProven ||
       this.#hasHead
--- a/packages/entry/src/serving/response_framing.ts
+++ b/packages/entry/src/serving/response_framing.ts
@@ -10,6 +10,7 @@
 const STATUS_NO_CONTENT = 204;
 const STATUS_NOT_MODIFIED = 304;
 const HTTP_1_1 = "1.1";
+const CHUNKED = "chunked";
 
 /** What the framing of a response to a caller depends on. */
 export interface CallerProtocol {
@@ -40,8 +41,22 @@
   if (encoding === undefined) {
     return typeof length === "string" && /^[0-9]+$/.test(length);
   }
-  return length === undefined && typeof encoding === "string" &&
-    encoding.trim().toLowerCase() === "chunked";
+  return length === undefined && !hasUnknownCoding(headers);
+}
+
+/**
+ * Checks whether a response has a transfer coding besides `chunked`, which its caller
+ * would not see.
+ *
+ * @param headers - header values by lower-case name
+ * @returns true if its body cannot be passed on
+ */
+export function hasUnknownCoding(
+  headers: Readonly<Record<string, string | string[] | undefined>>,
+): boolean {
+  const encoding = headers["transfer-encoding"];
+  return encoding !== undefined &&
+    String(encoding).trim().toLowerCase() !== CHUNKED;
 }
 
 /**
