test: the VM of a caller of another version is killed behind its response

A caller that has received nothing takes nothing for whole, so the case was wrong, not the VM. The kill now comes 100 ms after the first bytes; what the head must say is unchanged.

--- a/packages/standins/src/fleet/ended_server_test.ts
+++ b/packages/standins/src/fleet/ended_server_test.ts
@@ -187,10 +187,12 @@
               `${PROTOCOL_HEADER.requestId}: v\r\n\r\n`,
           );
         });
-        setTimeout(() => {
-          vm.sendSignal("SIGKILL");
-        }, 600);
         socket.on("data", (chunk) => received += chunk.toString("latin1"));
+        socket.once("data", () => {
+          setTimeout(() => {
+            vm.sendSignal("SIGKILL");
+          }, 100);
+        });
         socket.on("error", () => undefined);
         socket.on("close", () => {
           resolve(received);
