fix: what one caller's request throws stopped the VM and left its slot taken

What callers saw: an exception in a step of a request (choice of the slot's connection, plan of a retry or hedge, end of an attempt, its log lines) came out in a callback of the HTTP client, of a timer or of the event loop. Some of these requests got no answer before their deadline, the slot stayed taken, the request was counted as in flight for ever, and the VM stopped (gracefully). Cause: only what `RequestPipeline` awaits had a catch; attempts run in callbacks. It also hid the exception, and promised nothing though nothing had been sent. Change: a guard runs all steps of an `AttemptSeries`. The first exception cancels the attempts, gives their slots back and ends the request: 503 with "not run" if no attempt was opened, the same kind with an unknown outcome (502 on the platform) otherwise, a reset if the response has begun. What the answer does not need (the plan of a hedge, records of an attempt's end, log lines of the end) is reported and the answer goes on. One line `exception-contained` with source `caller`, and `limpetford_contained_exceptions_total`. The abort of all requests goes on after one that can't be refused. Ruled out: a catch in `BackendAttempt`: what its listener throws inside the HTTP client's parser already ended as a broken connection, but as a fault of the server. Not covered: `PeerForwarder` (the product's own claims; not on the platform), and steps of `BackendAttempt` besides its listener.

--- a/packages/entry/src/fleet/fleet_caller_server.ts
+++ b/packages/entry/src/fleet/fleet_caller_server.ts
@@ -6,6 +6,7 @@
 import { PlatformDialect } from "../dialect/platform_dialect.ts";
 import { CallerServer } from "../http/caller_server.ts";
 import { computeHeldLimitBytes } from "../serving/memory_budget.ts";
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import type { CrashGuard } from "./crash_guard.ts";
@@ -41,6 +42,7 @@
   readonly log: FleetLog;
   readonly guard: CrashGuard;
   readonly metrics: PrometheusMetrics;
+  readonly exceptions: ContainedExceptions;
   /** Size up to which the heap of the process may grow. */
   readonly heapLimitBytes: number;
 }
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -271,6 +271,7 @@
       random,
       log,
       metrics,
+      exceptions,
       heapLimitBytes: dependencies.heapLimitBytes,
     });
   }
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -2,21 +2,14 @@
 
 import type { ServerId } from "@limpetford/domain/ids";
 
-import type { ServingDialect } from "../dialect/serving_dialect.ts";
-import type {
-  AttemptSample,
-  Placement,
-  PlacementRequest,
-} from "../ports/server_router.ts";
-import { openAttemptConnection } from "./attempt_connection.ts";
+import type { Placement, PlacementRequest } from "../ports/server_router.ts";
 import { AttemptCounter } from "./attempt_counter.ts";
 import {
   type AttemptFailure,
   AttemptListener,
   type ResponseHead,
 } from "./attempt_listener.ts";
-import { openAttemptSpan } from "./attempt_span.ts";
-import { BackendAttempt } from "./backend_attempt.ts";
+import type { BackendAttempt } from "./backend_attempt.ts";
 import { buildBufferedReceiver } from "./buffering_receiver.ts";
 import {
   buildRefusal,
@@ -25,10 +18,11 @@
   mergeCauses,
   type RefusalCause,
 } from "./failure_refusals.ts";
+import { GuardedListener } from "./guarded_listener.ts";
 import {
   acquireSlot,
   LazySlotRequest,
-  UNUSED_SAMPLE,
+  SeriesSlotFields,
 } from "./lazy_slot_request.ts";
 import type { RefusalKind } from "./refusal.ts";
 import {
@@ -39,10 +33,11 @@
 } from "./response_receiver.ts";
 import {
   recordHead,
-  type RunningAttempt,
   RunningAttempts,
   type UnusedAttempt,
 } from "./running_attempts.ts";
+import { completeAttempt, openAttempt, returnSlot } from "./series_attempt.ts";
+import { SeriesGuard } from "./series_guard.ts";
 import type { ServingPorts } from "./serving_ports.ts";
 
 /**
@@ -51,15 +46,15 @@
  */
 export class AttemptSeries extends AttemptListener {
   readonly #ports: ServingPorts;
-  readonly #dialect: ServingDialect;
   readonly #dependencies: SeriesDependencies;
   readonly #request: OutboundRequest;
   readonly #receiver: ResponseReceiver;
   readonly #running = new RunningAttempts();
   readonly #tried: ServerId[] = [];
   readonly #attempts: AttemptCounter;
-  #abortController: AbortController | undefined;
-  #fingerprint: string | undefined;
+  readonly #slotFields: SeriesSlotFields;
+  readonly #guard: SeriesGuard;
+  readonly #listener: GuardedListener;
   #winner: BackendAttempt | undefined;
   #timer: NodeJS.Timeout | undefined;
   #pendingPlacements = 0;
@@ -83,10 +78,14 @@
   ) {
     super();
     this.#ports = dependencies.ports;
-    this.#dialect = dependencies.dialect;
     this.#dependencies = dependencies;
     this.#attempts = new AttemptCounter(request.context.terms);
     this.#request = request;
+    this.#slotFields = new SeriesSlotFields(request.computeFingerprint);
+    this.#guard = new SeriesGuard(this.#ports.exceptions, () => {
+      this.#cancelFailed();
+    });
+    this.#listener = new GuardedListener(this, this.#guard);
     this.#receiver = buildBufferedReceiver(receiver, dependencies);
   }
 
@@ -100,29 +99,6 @@
     return this.#mayHaveRun || this.#running.mayBeRunning();
   }
 
-  /**
-   * Signal that ends waiting requests for a slot.
-   *
-   * @returns signal that is aborted when the series has ended
-   */
-  get signal(): AbortSignal {
-    this.#abortController ??= new AbortController();
-    if (this.#isFinished) {
-      this.#abortController.abort();
-    }
-    return this.#abortController.signal;
-  }
-
-  /**
-   * Digest that is the same for identical requests; computed at first use.
-   *
-   * @returns SHA-256 in hexadecimal digits
-   */
-  get fingerprint(): string {
-    this.#fingerprint ??= this.#request.computeFingerprint();
-    return this.#fingerprint;
-  }
-
   /** Starts the first attempt. */
   start(): void {
     void this.#acquireSlot(false);
@@ -148,7 +124,7 @@
   /** Continues a response that the receiver has paused. */
   resume(): void {
     this.#isPaused = false;
-    this.#winner?.resume();
+    this.#guard.run(() => this.#winner?.resume());
   }
 
   override receiveHead(attempt: BackendAttempt, head: ResponseHead): void {
@@ -157,7 +133,10 @@
       return;
     }
     const { isForwarded } = running.placement;
-    const classified = this.#dialect.readResponse(head, isForwarded);
+    const classified = this.#dependencies.dialect.readResponse(
+      head,
+      isForwarded,
+    );
     const { isNotRun, isFinal } = classified;
     recordHead(running, head.status, classified);
     if (!isNotRun) {
@@ -203,9 +182,10 @@
       return;
     }
     const sample = attempt.measureSample(running.outcome);
-    this.#completePlacement(running, sample);
+    completeAttempt(running, sample, this.#guard);
     if (attempt === this.#winner) {
       this.#isFinished = true;
+      this.#slotFields.hasEnded = true;
       this.#receiver.receiveEnd(last);
     }
   }
@@ -220,7 +200,7 @@
     }
     const outcome = running.isDiscarded ? running.outcome : failure.outcome;
     const sample = attempt.measureSample(outcome);
-    this.#completePlacement(running, sample);
+    completeAttempt(running, sample, this.#guard);
     if (running.isDiscarded || this.#isFinished) {
       return;
     }
@@ -249,57 +229,63 @@
   }
 
   async #acquireSlot(isHedge: boolean): Promise<void> {
-    const request = new LazySlotRequest(this, this.#request.context, {
+    const { context } = this.#request;
+    const request = new LazySlotRequest(this.#slotFields, context, {
       tried: [...this.#tried],
       attempt: this.#attempts.started + 1,
       isHedge,
     });
     this.#pendingPlacements += 1;
-    const verdict = await acquireSlot(this.#ports.router, request);
+    const verdict = await acquireSlot(this.#ports, request);
     if (verdict.kind === "placed") {
       this.#dependencies.arrivals.runOnceRead(() => {
         this.#pendingPlacements -= 1;
-        this.#dispatch(request, verdict.placement);
+        this.#guard.run(() => {
+          this.#dispatch(request, verdict.placement);
+        });
       });
       return;
     }
     this.#pendingPlacements -= 1;
     if (!this.#isFinished && this.#winner === undefined) {
-      this.#refuseUnlessRunning(mergeCauses(this.#lastCause, verdict));
+      this.#guard.run(() => {
+        this.#refuseUnlessRunning(mergeCauses(this.#lastCause, verdict));
+      });
     }
   }
 
   #dispatch(request: PlacementRequest, placement: Placement): void {
     if (this.#isFinished || this.#winner !== undefined) {
-      placement.complete(UNUSED_SAMPLE);
+      returnSlot(placement, this.#guard);
       return;
     }
-    const isCounted = this.#attempts.started > 0;
-    const { sent } = this.#attempts;
-    this.#attempts.recordStart();
+    const attempt = this.#openAttempt(request, placement);
     this.#tried.push(placement.server.id);
-    const span = openAttemptSpan(this.#ports, this.#request, placement);
-    const message = this.#dialect.buildAttempt(this.#request, {
-      number: this.#attempts.started,
-      nowMs: this.#ports.clock.readMonotonicMs(),
-      traceparent: span?.traceparent,
-      server: placement.server.id,
-      ...placement.isForwarded === true
-        ? { forwarding: { attempts: sent, isCounted } }
-        : {},
-    });
-    const attempt = new BackendAttempt(
-      { ...message, verifyServer: placement.verifyServer },
-      openAttemptConnection(this.#dependencies, placement),
-      { clock: this.#ports.clock, listener: this },
-    );
-    this.#running.add(attempt, { placement, request, span });
     attempt.start();
     if (placement.isForwarded !== true) {
       this.#scheduleHedge(request);
     }
   }
 
+  #openAttempt(
+    request: PlacementRequest,
+    placement: Placement,
+  ): BackendAttempt {
+    const { sent } = this.#attempts;
+    this.#attempts.recordStart();
+    const { attempt, span } = openAttempt(placement, {
+      dependencies: this.#dependencies,
+      request: this.#request,
+      listener: this.#listener,
+      guard: this.#guard,
+      number: this.#attempts.started,
+      sent,
+    });
+    const { record } = this.#request;
+    this.#running.add(attempt, { placement, request, span, record });
+    return attempt;
+  }
+
   #scheduleHedge(request: PlacementRequest): void {
     if (
       this.#hasHedged || this.#isFinished || !this.#request.isRetryable ||
@@ -307,7 +293,8 @@
     ) {
       return;
     }
-    const hedgeMs = this.#ports.router.planHedgeMs(request);
+    const { router } = this.#ports;
+    const hedgeMs = this.#guard.offer(() => router.planHedgeMs(request));
     if (hedgeMs === undefined) {
       return;
     }
@@ -366,34 +353,39 @@
     this.#receiver.receiveRefusal(buildRefusal(cause, this.#mayHaveRun));
   }
 
-  #abortAll(
-    outcome: "cancelled" | "timed-out",
-    kind: RefusalKind,
-  ): void {
+  #abortAll(outcome: "cancelled" | "timed-out", kind: RefusalKind): void {
     if (this.#isFinished) {
       return;
     }
-    const hadWinner = this.#winner !== undefined &&
-      !this.#receiver.dropResponse();
-    this.#mayHaveRun ||= this.#running.mayBeRunning();
-    this.#markFinished();
-    this.#running.cancelAll(outcome);
-    if (hadWinner) {
-      this.#receiver.receiveCut();
-    } else {
-      this.#receiver.receiveRefusal(buildRefusal({ kind }, this.#mayHaveRun));
-    }
+    this.#guard.run(() => {
+      const hadWinner = this.#winner !== undefined &&
+        !this.#receiver.dropResponse();
+      this.#mayHaveRun ||= this.#running.mayBeRunning();
+      this.#markFinished();
+      this.#running.cancelAll(outcome);
+      if (hadWinner) {
+        this.#receiver.receiveCut();
+      } else {
+        this.#receiver.receiveRefusal(buildRefusal({ kind }, this.#mayHaveRun));
+      }
+    });
   }
 
   #markFinished(): void {
     this.#isFinished = true;
     clearTimeout(this.#timer);
-    this.#abortController?.abort();
+    this.#slotFields.abort();
   }
 
-  #completePlacement(running: RunningAttempt, sample: AttemptSample): void {
-    running.span?.close(running.status);
-    this.#request.record.addAttempt(running.placement.server.id, sample);
-    running.placement.complete(sample);
+  #cancelFailed(): void {
+    // What was known of the attempts may have been lost with the exception.
+    this.#mayHaveRun ||= this.#tried.length > 0;
+    this.#guard.run(() => {
+      this.#markFinished();
+      this.#running.cancelAll("cancelled");
+    });
+    this.#dependencies.abort(
+      buildRefusal({ kind: "vm-busy" }, this.#mayHaveRun),
+    );
   }
 }
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -131,6 +131,25 @@
     });
   }
 
+  /**
+   * Ends an exchange whose handling threw: by a refusal or, if the response has
+   * begun, by a broken connection. A response that was sent whole stays.
+   *
+   * @param refusal - reason and outcome to report
+   */
+  abort(refusal: Refusal): void {
+    try {
+      if (!this.response.writableEnded) {
+        this.refuse(refusal);
+      }
+    } catch {
+      // The connection is broken instead.
+    }
+    if (!this.response.writableEnded) {
+      this.writer.abort();
+    }
+  }
+
   /**
    * Sends a JSON document as the response.
    *
--- a/packages/entry/src/serving/claimed_request_handler.ts
+++ b/packages/entry/src/serving/claimed_request_handler.ts
@@ -179,6 +179,15 @@
           peerConnections: this.#options.connections.peer,
           arrivals: this.#options.arrivals,
           memory: admitted.memory,
+          abort: (refusal) => {
+            hasEnded = true;
+            clearTimeout(callerTimer);
+            clearTimeout(routeTimer);
+            exchange.abort(refusal);
+            const isNotRun = refusal.outcome === REQUEST_OUTCOME.notRun;
+            void settler.settle({ kind: isNotRun ? "not-run" : "unknown" })
+              .then(resolve);
+          },
         },
         {
           ...buildOutboundRequest(admitted, body, this.#options.dialect),
--- a/packages/entry/src/serving/lazy_slot_request.ts
+++ b/packages/entry/src/serving/lazy_slot_request.ts
@@ -7,8 +7,9 @@
   AttemptSample,
   PlacementRequest,
   PlacementVerdict,
-  ServerRouter,
 } from "../ports/server_router.ts";
+import { EXCEPTION_SOURCE } from "../telemetry/contained_exceptions.ts";
+import type { ServingPorts } from "./serving_ports.ts";
 
 /** Retry delay told to callers if the router fails. */
 const FAILED_ROUTER_RETRY_MS = 1_000;
@@ -31,6 +32,43 @@
   readonly signal: AbortSignal;
 }
 
+/** Fingerprint and abort signal of one request, for all its slots. */
+export class SeriesSlotFields implements LazyFieldSource {
+  readonly #computeFingerprint: () => string;
+  #fingerprint: string | undefined;
+  #abortController: AbortController | undefined;
+  /** Set when the request has ended; signals are aborted from then on. */
+  hasEnded = false;
+
+  /**
+   * Creates the fields; nothing is computed yet.
+   *
+   * @param computeFingerprint - computes the digest of the request
+   */
+  constructor(computeFingerprint: () => string) {
+    this.#computeFingerprint = computeFingerprint;
+  }
+
+  get fingerprint(): string {
+    this.#fingerprint ??= this.#computeFingerprint();
+    return this.#fingerprint;
+  }
+
+  get signal(): AbortSignal {
+    this.#abortController ??= new AbortController();
+    if (this.hasEnded) {
+      this.#abortController.abort();
+    }
+    return this.#abortController.signal;
+  }
+
+  /** Ends what waits for a slot of this request. */
+  abort(): void {
+    this.hasEnded = true;
+    this.#abortController?.abort();
+  }
+}
+
 /**
  * A request for a slot. The fingerprint and the abort signal are costly to
  * create, so both are created only when they are read.
@@ -73,17 +111,18 @@
 /**
  * Acquires a slot for an attempt.
  *
- * @param router - places the attempt
+ * @param ports - router that places the attempt, and reporter of what it throws
  * @param request - the attempt
  * @returns the slot, or why there is none; no server if the router fails
  */
 export async function acquireSlot(
-  router: ServerRouter,
+  { router, exceptions }: Pick<ServingPorts, "router" | "exceptions">,
   request: PlacementRequest,
 ): Promise<PlacementVerdict> {
   try {
     return await router.acquire(request);
-  } catch {
+  } catch (error) {
+    exceptions?.report(EXCEPTION_SOURCE.caller, error);
     return { kind: "no-server", retryAfterMs: FAILED_ROUTER_RETRY_MS };
   }
 }
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -2,9 +2,8 @@
 
 import { PassThrough } from "node:stream";
 
-import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
-
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
+import { EXCEPTION_SOURCE } from "../telemetry/contained_exceptions.ts";
 import type { HopSpan } from "../telemetry/span_recorder.ts";
 import type { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
@@ -21,6 +20,7 @@
 import type { CallerExchange } from "./caller_exchange.ts";
 import { ClaimedRequestHandler } from "./claimed_request_handler.ts";
 import { ExchangeReceiver } from "./exchange_receiver.ts";
+import { InFlightRequests } from "./in_flight_requests.ts";
 import { MemoryBudget, type MemoryShare } from "./memory_budget.ts";
 import {
   DEFAULT_BODY_BUDGET_BYTES,
@@ -28,7 +28,7 @@
   DEFAULT_STREAM_ABOVE_BYTES,
   type PipelineOptions,
 } from "./pipeline_options.ts";
-import { refuseNotRun } from "./refusal.ts";
+import { refuseNotRun, refuseUnknown } from "./refusal.ts";
 import type { Admission } from "./request_admission.ts";
 import {
   BodyBudget,
@@ -59,11 +59,10 @@
   readonly #bodyBudget: BodyBudget;
   readonly #streamAboveBytes: number;
   readonly #arrivals: ArrivalQueue;
-  readonly #idleListeners: (() => void)[] = [];
+  readonly #inFlight = new InFlightRequests();
   /** Unclaimed requests in flight; undefined until their attempts begin. */
   readonly #unclaimed = new Map<CallerExchange, AttemptSeries | undefined>();
   #isAborted = false;
-  #inFlight = 0;
 
   /**
    * Prepares the pipeline.
@@ -114,18 +113,12 @@
    * @returns number of requests
    */
   get inFlight(): number {
-    return this.#inFlight;
+    return this.#inFlight.count;
   }
 
-  /**
-   * Waits until no request is in flight.
-   */
+  /** Waits until no request is in flight. */
   async waitIdle(): Promise<void> {
-    if (this.#inFlight > 0) {
-      await new Promise<void>((resolve) => {
-        this.#idleListeners.push(resolve);
-      });
-    }
+    await this.#inFlight.waitIdle();
   }
 
   /**
@@ -136,7 +129,7 @@
     this.#isAborted = true;
     for (const [exchange, series] of [...this.#unclaimed]) {
       if (series === undefined) {
-        exchange.refuse(refuseNotRun("vm-stopping"));
+        exchange.abort(refuseNotRun("vm-stopping"));
       } else {
         series.stop();
       }
@@ -150,7 +143,7 @@
    * @param exchange - exchange of the caller
    */
   accept(exchange: CallerExchange): void {
-    this.#inFlight += 1;
+    this.#inFlight.add();
     const memory = openMemoryShare(this.memory, exchange);
     if (memory === undefined) {
       this.#refuseForMemory(exchange);
@@ -158,7 +151,7 @@
     }
     this.#arrivals.begin(() => {
       // A slow caller's response is held until its connection has taken it.
-      void this.#serve(exchange, memory).then(() => exchange.closed).then(
+      void this.#serve(exchange, memory).then(() => exchange.closed).finally(
         () => {
           memory.close();
         },
@@ -170,7 +163,7 @@
     const record = this.#addRecord(exchange);
     // The connection holds memory as well.
     exchange.response.shouldKeepAlive = false;
-    exchange.refuse(refuseNotRun("vm-busy"));
+    exchange.abort(refuseNotRun("vm-busy"));
     this.#ports.metrics?.count("memory_refusals");
     this.#complete(exchange, record);
   }
@@ -201,12 +194,11 @@
       } else {
         exchange.refuse(admission.error);
       }
-    } catch {
-      // The caller must get a response even if a component throws an error.
-      exchange.refuse({ kind: "vm-busy", outcome: REQUEST_OUTCOME.unknown });
-      if (!exchange.response.writableEnded) {
-        exchange.writer.abort();
-      }
+    } catch (error) {
+      // What attempts throw ends in `SeriesDependencies.abort`.
+      this.#ports.exceptions?.report(EXCEPTION_SOURCE.caller, error);
+      const mayBeSent = (record.claim ?? record.passedOnTo) !== undefined;
+      exchange.abort((mayBeSent ? refuseUnknown : refuseNotRun)("vm-busy"));
     }
     this.#complete(exchange, record);
   }
@@ -349,6 +341,11 @@
           peerConnections: this.#peerConnections,
           arrivals: this.#arrivals,
           memory: admitted.memory,
+          abort: (refusal) => {
+            clearTimeout(timer);
+            exchange.abort(refusal);
+            resolve();
+          },
         },
         request,
         receiver,
@@ -371,6 +368,15 @@
   }
 
   #complete(exchange: CallerExchange, record: RequestRecord): void {
+    try {
+      this.#recordEnd(exchange, record);
+    } catch (error) {
+      this.#ports.exceptions?.report(EXCEPTION_SOURCE.caller, error);
+    }
+    this.#inFlight.release();
+  }
+
+  #recordEnd(exchange: CallerExchange, record: RequestRecord): void {
     const nowMs = this.#ports.clock.readMonotonicMs();
     record.durationMs = nowMs - exchange.receivedAtMs;
     record.refusal = exchange.refusal;
@@ -389,11 +395,5 @@
         : `answer:${exchange.refusal.kind}`,
     );
     this.#ports.metrics?.recordDuration("request_ms", record.durationMs);
-    this.#inFlight -= 1;
-    if (this.#inFlight === 0) {
-      this.#idleListeners.splice(0).forEach((listener) => {
-        listener();
-      });
-    }
   }
 }
--- a/packages/entry/src/serving/response_receiver.ts
+++ b/packages/entry/src/serving/response_receiver.ts
@@ -83,6 +83,11 @@
   readonly arrivals: ArrivalQueue;
   /** What the request holds of the VM's memory. */
   readonly memory: MemoryShare;
+  /**
+   * Called in place of the receiver if a step of the series or of the receiver
+   * throws, once all attempts have been cancelled.
+   */
+  readonly abort: (refusal: Refusal) => void;
 }
 
 /**
--- a/packages/entry/src/serving/running_attempts.ts
+++ b/packages/entry/src/serving/running_attempts.ts
@@ -9,6 +9,7 @@
 } from "../ports/server_router.ts";
 import type { HopSpan } from "../telemetry/span_recorder.ts";
 import type { BackendAttempt } from "./backend_attempt.ts";
+import type { RequestRecord } from "./request_explanations.ts";
 
 /** An unwanted response that is longer is cancelled with its connection. */
 const MAX_DISCARDED_BYTES = 65_536;
@@ -19,6 +20,7 @@
   readonly placement: Placement;
   readonly request: PlacementRequest;
   readonly span: HopSpan | undefined;
+  readonly record: RequestRecord;
   /** True if the response is only read so that the connection can be reused. */
   isDiscarded: boolean;
   /** Bytes of an unwanted response that have been read. */
@@ -82,13 +84,14 @@
    */
   add(
     attempt: BackendAttempt,
-    parts: Pick<RunningAttempt, "placement" | "request" | "span">,
+    parts: Pick<RunningAttempt, "placement" | "request" | "span" | "record">,
   ): void {
     this.#states.push({
       attempt,
       placement: parts.placement,
       request: parts.request,
       span: parts.span,
+      record: parts.record,
       isDiscarded: false,
       discardedBytes: 0,
       outcome: "served",
--- a/packages/entry/src/serving/serving_ports.ts
+++ b/packages/entry/src/serving/serving_ports.ts
@@ -9,6 +9,7 @@
 import type { IdempotencyLedger } from "../ports/idempotency_ledger.ts";
 import type { RateLimiter } from "../ports/rate_limiter.ts";
 import type { ServerRouter } from "../ports/server_router.ts";
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { DecisionLog } from "../telemetry/decision_log.ts";
 import type { ServingMetrics } from "../telemetry/serving_metrics.ts";
 import type { SpanRecorder } from "../telemetry/span_recorder.ts";
@@ -31,6 +32,8 @@
   readonly decisions?: DecisionLog;
   /** Counters and timers; nothing is recorded if absent. */
   readonly metrics?: ServingMetrics;
+  /** Exceptions that end only a caller's request; not reported if absent. */
+  readonly exceptions?: ContainedExceptions;
   /** Trace spans; nothing is traced if absent. */
   readonly spans?: SpanRecorder;
 }
--- a/packages/entry/src/telemetry/contained_exceptions.ts
+++ b/packages/entry/src/telemetry/contained_exceptions.ts
@@ -2,6 +2,7 @@
 
 /** What an exception came from, by names of a small fixed set. */
 export const EXCEPTION_SOURCE = {
+  caller: "caller",
   directory: "directory",
   store: "store",
 } as const;
