fix: an exception before a caller's request is served stopped the VM

What callers saw: what throws while a connection is accepted, a malformed request is answered or a request is taken up was caught by nobody: the VM stopped (gracefully), and the request got no answer. Cause: listeners of the callers' server ran without a catch. Change: the exception ends the connection, with one line and a counter (source `caller`); also for requests that other VMs forward. Ruled out: an answer instead of a broken connection: nothing is known of the request here, not even its identifier.

--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -1,7 +1,6 @@
 /** The HTTP server that callers connect to. */
 
-import * as http from "node:http";
-import * as https from "node:https";
+import type * as http from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Duplex } from "node:stream";
 
@@ -23,19 +22,18 @@
 import { trackConnection } from "../serving/request_memory.ts";
 import { RequestPipeline } from "../serving/request_pipeline.ts";
 import type { ServingPorts } from "../serving/serving_ports.ts";
+import { EXCEPTION_SOURCE } from "../telemetry/contained_exceptions.ts";
 import { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
 import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
-import type { CallerServerOptions } from "./caller_server_limits.ts";
+import {
+  type CallerServerOptions,
+  createHttpServer,
+} from "./caller_server_limits.ts";
 
-const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
-const DEFAULT_REQUEST_TIMEOUT_MS = 60_000;
-const DEFAULT_KEEP_ALIVE_TIMEOUT_MS = 15_000;
 const DEFAULT_MAX_CONNECTIONS = 10_000;
-const DEFAULT_MAX_HEADER_BYTES = 16_384;
 const DEFAULT_LINGER_MS = 0;
 /** Length of the accept queue, for many callers that connect at once. */
 const ACCEPT_BACKLOG = 4_096;
-const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 const STATUS_BAD_REQUEST = 400;
 const STATUS_UNAVAILABLE = 503;
 
@@ -287,30 +285,13 @@
 
   #createServer(): http.Server {
     const options = this.#options;
-    const limits: http.ServerOptions = {
-      maxHeaderSize: options.maxHeaderBytes ?? DEFAULT_MAX_HEADER_BYTES,
-      headersTimeout: options.headersTimeoutMs ?? DEFAULT_HEADERS_TIMEOUT_MS,
-      requestTimeout: options.requestTimeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS,
-      keepAliveTimeout: options.keepAliveTimeoutMs ??
-        DEFAULT_KEEP_ALIVE_TIMEOUT_MS,
-      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
-      noDelay: true,
-      insecureHTTPParser: false,
-      // Node's own error responses do not state the outcome of the request, so
-      // admission checks the `Host` header instead.
-      requireHostHeader: false,
-    };
-    const server = options.tls === undefined
-      ? http.createServer(limits)
-      : https.createServer({
-        ...limits,
-        cert: options.tls.certificate,
-        key: options.tls.privateKey,
-      });
+    const server = createHttpServer(options);
     server.maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
     server.on("connection", (socket: Socket) => {
-      this.#acceptQueue.observeAccept(socket);
-      trackConnection(this.#pipeline.memory, socket);
+      this.#runFor(socket, () => {
+        this.#acceptQueue.observeAccept(socket);
+        trackConnection(this.#pipeline.memory, socket);
+      });
     });
     server.on("request", (request, response) => {
       this.#accept(request, response);
@@ -319,17 +300,39 @@
       this.#accept(request, response);
     });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
-      const isBusy = this.#exchanges.has(socket);
-      this.#dialect.refuseMalformed(error, socket, isBusy);
-      this.#ports.metrics?.count("malformed_requests");
+      this.#runFor(socket, () => {
+        const isBusy = this.#exchanges.has(socket);
+        this.#dialect.refuseMalformed(error, socket, isBusy);
+        this.#ports.metrics?.count("malformed_requests");
+      });
     });
     return server;
   }
 
+  // What is thrown here ends the connection, and nothing else.
+  #runFor(socket: Duplex, step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.#ports.exceptions?.report(EXCEPTION_SOURCE.caller, error);
+      socket.destroy();
+    }
+  }
+
   #accept(
     request: http.IncomingMessage,
     response: http.ServerResponse,
     forwarding?: ForwardingTerms,
+  ): void {
+    this.#runFor(request.socket, () => {
+      this.#open(request, response, forwarding);
+    });
+  }
+
+  #open(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    forwarding: ForwardingTerms | undefined,
   ): void {
     const exchange = new CallerExchange(request, response, {
       id: this.#resolveRequestId(request),
--- a/packages/standins/src/serving/contained_exceptions_test.ts
+++ b/packages/standins/src/serving/contained_exceptions_test.ts
@@ -1,5 +1,9 @@
 /** Guards against what one caller's request throws and other requests pay for. */
 
+import { once } from "node:events";
+import * as net from "node:net";
+
+import { NativeDialect } from "@limpetford/entry/dialect/native_dialect";
 import { CollectedExceptions } from "@limpetford/entry/fakes/collected_exceptions";
 import { SimpleServerRouter } from "@limpetford/entry/fakes/simple_server_router";
 import type {
@@ -89,6 +93,16 @@
   }
 }
 
+class FaultyDialect extends NativeDialect {
+  override handleOwnRequest(): boolean {
+    throw new Error("fault at an own request");
+  }
+
+  override refuseMalformed(): void {
+    throw new Error("fault at a malformed request");
+  }
+}
+
 describe("an exception while a caller's request is served", () => {
   let router: FaultyRouter;
   let exceptions: CollectedExceptions;
@@ -176,3 +190,28 @@
     await expectServing();
   });
 });
+
+describe("an exception before a request is served", () => {
+  it("ends only its connection", async () => {
+    const exceptions = new CollectedExceptions();
+    const harness = new ServingHarness({
+      preparePorts: (ports): ServingPorts => ({
+        ...ports,
+        exceptions,
+        dialect: new FaultyDialect(ports),
+      }),
+    });
+    await harness.start();
+    const { address, server } = harness;
+    const response = await sendRequest(address, "/read", {
+      abortAfterMs: FAULT_TIMEOUT_MS,
+    });
+    expect(response.status).toBeUndefined();
+    const malformed = net.connect(address);
+    malformed.write("GET /read\r\n\r\n");
+    await once(malformed, "close");
+    expect(exceptions.sources).toEqual(["caller", "caller"]);
+    expect(server.inFlight).toBe(0);
+    await harness.stop();
+  });
+});
