fix: an exception of one scrape of the metrics stopped the VM

What callers saw: nothing at once; a value that can't be read at a scrape came out as a rejection that nothing caught, and the VM stopped (gracefully). The scraper got no answer. Cause: the handler of the metrics address ran without a catch, and one value that throws ends the rendering of all. Change: such a value is rendered as not a number, all others as they are; any other exception ends the scrape's connection. One line and a counter, source `metrics`. Ruled out: keeping the value of the scrape before, which would look current.

--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -280,8 +280,9 @@
   async start(): Promise<void> {
     const { self, directoryAddress, readyAddress, metricsAddress } =
       this.#settings;
+    const { metrics, exceptions } = this.#dependencies;
     if (metricsAddress !== undefined) {
-      addFleetGauges(this.#dependencies.metrics, {
+      addFleetGauges(metrics, {
         state: this.#state,
         peers: this.#peers,
         balancers: this.#balancers,
@@ -290,8 +291,8 @@
         loop: this.#loop,
         callerServer: this.#callerServer,
       });
-      this.#crashes.addGauges(this.#dependencies.metrics);
-      await this.#dependencies.metrics.start(metricsAddress);
+      this.#crashes.addGauges(metrics);
+      await metrics.start(metricsAddress, exceptions);
     }
     await this.#directory.start([directoryAddress, readyAddress]);
     await this.#callerServer.start();
--- a/packages/entry/src/telemetry/contained_exceptions.ts
+++ b/packages/entry/src/telemetry/contained_exceptions.ts
@@ -4,6 +4,7 @@
 export const EXCEPTION_SOURCE = {
   caller: "caller",
   directory: "directory",
+  metrics: "metrics",
   store: "store",
 } as const;
 /** One of {@link EXCEPTION_SOURCE}. */
--- a/packages/entry/src/telemetry/prometheus_metrics.ts
+++ b/packages/entry/src/telemetry/prometheus_metrics.ts
@@ -5,6 +5,10 @@
 import type { SocketAddress } from "@limpetford/domain/vm";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "./contained_exceptions.ts";
 import { ServingMetrics } from "./serving_metrics.ts";
 
 const PREFIX = "limpetford_";
@@ -38,6 +42,7 @@
   readonly #counters = new Map<string, Counter>();
   readonly #histograms = new Map<string, Histogram>();
   #server: http.Server | undefined;
+  #exceptions: ContainedExceptions | undefined;
 
   override count(name: string, tag = "", amount = 1): void {
     const known = this.#counters.get(name);
@@ -68,7 +73,8 @@
   }
 
   /**
-   * Adds a gauge whose value is read at each scrape.
+   * Adds a gauge whose value is read at each scrape; it is not a number if that
+   * throws.
    *
    * @param name - name without the prefix `limpetford_`
    * @param help - help text of the metric
@@ -80,7 +86,12 @@
       help,
       registers: [this.#registry],
       collect: () => {
-        gauge.set(readValue());
+        try {
+          gauge.set(readValue());
+        } catch (error) {
+          gauge.set(NaN);
+          this.#exceptions?.report(EXCEPTION_SOURCE.metrics, error);
+        }
       },
     });
   }
@@ -98,19 +109,21 @@
    * Starts to serve `/metrics`.
    *
    * @param address - address to listen on
+   * @param exceptions - receives what a scrape throws; its connection ends
    */
-  async start(address: SocketAddress): Promise<void> {
+  async start(
+    address: SocketAddress,
+    exceptions: ContainedExceptions,
+  ): Promise<void> {
+    this.#exceptions = exceptions;
     const server = http.createServer((request, response) => {
       if (request.url !== METRICS_PATH) {
         response.writeHead(STATUS_NOT_FOUND).end();
         return;
       }
-      void this.render().then((text) => {
-        response.writeHead(STATUS_OK, {
-          "content-type": this.#registry.contentType,
-          "content-length": Buffer.byteLength(text),
-        });
-        response.end(text);
+      void this.#send(response).catch((error: unknown) => {
+        exceptions.report(EXCEPTION_SOURCE.metrics, error);
+        response.destroy();
       });
     });
     this.#server = server;
@@ -120,6 +133,15 @@
     });
   }
 
+  async #send(response: http.ServerResponse): Promise<void> {
+    const text = await this.render();
+    response.writeHead(STATUS_OK, {
+      "content-type": this.#registry.contentType,
+      "content-length": Buffer.byteLength(text),
+    });
+    response.end(text);
+  }
+
   override async close(): Promise<void> {
     this.#server?.closeAllConnections();
     await new Promise<void>((resolve) => {
