fix: a drain that throws left requests in flight until the forced exit

Cause: the steps of `FleetDrain` ran in a row, before the timer of the forced stop was set; the command then waited for the forced exit. A part that threw on stopping left those behind it running. One line and a counter, source `stop`. Ruled out: an exit at once, which cuts what would have ended in its time.

--- a/packages/entry/src/fleet/fleet_drain.ts
+++ b/packages/entry/src/fleet/fleet_drain.ts
@@ -3,6 +3,10 @@
 import type { Clock } from "@limpetford/core/time/clock";
 
 import type { CallerServer } from "../http/caller_server.ts";
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "../telemetry/contained_exceptions.ts";
 import type { FleetExchange } from "./fleet_exchange.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
@@ -28,13 +32,18 @@
 export interface FleetDrainOptions {
   /** Time from the signal to stop until the process is killed. */
   readonly gracePeriodMs: number;
-  readonly peers: FleetPeers;
-  readonly exchange: FleetExchange;
-  readonly router: PlacementRouter;
-  readonly callerServer: CallerServer;
-  readonly stop: StopSchedule;
+  readonly peers: Pick<FleetPeers, "isLeaving" | "ownLeaderSinceMs">;
+  readonly exchange: Pick<FleetExchange, "notifyPartners">;
+  readonly router: Pick<PlacementRouter, "hasRecentRequests">;
+  readonly callerServer: Pick<
+    CallerServer,
+    "inFlight" | "drain" | "abortRequests"
+  >;
+  readonly stop: Pick<StopSchedule, "begin">;
   readonly clock: Clock;
-  readonly log: FleetLog;
+  readonly log: Pick<FleetLog, "record">;
+  /** Receives what a step of the stop throws; the other steps follow. */
+  readonly exceptions: ContainedExceptions;
 }
 
 /**
@@ -55,27 +64,62 @@
 
   /** Waits until no request is in flight or they have to be aborted. */
   async run(): Promise<void> {
-    const { gracePeriodMs, peers, exchange, router, callerServer } =
-      this.#options;
+    const { gracePeriodMs, peers, exchange, callerServer } = this.#options;
     const { stop, clock, log } = this.#options;
     const forcedStopMs = gracePeriodMs * FORCED_STOP_SHARE;
-    const nowMs = clock.readMonotonicMs();
-    stop.begin({
-      estimatesUntilMs: nowMs + gracePeriodMs * ESTIMATES_SHARE,
-      stopAtMs: nowMs + forcedStopMs,
+    const forcedStop = new Promise<void>((resolve) => {
+      setTimeout(resolve, forcedStopMs).unref();
     });
-    log.record("drain-started", { inFlight: callerServer.inFlight });
     peers.isLeaving = true;
     peers.ownLeaderSinceMs = undefined;
-    exchange.notifyPartners();
-    const lingerMs = router.hasRecentRequests()
-      ? gracePeriodMs * LINGER_SHARE
-      : Math.min(IDLE_LINGER_MS, gracePeriodMs * LINGER_SHARE);
-    const forcedStop = new Promise<void>((resolve) => {
-      setTimeout(resolve, forcedStopMs).unref();
+    this.#runStep(() => {
+      const nowMs = clock.readMonotonicMs();
+      stop.begin({
+        estimatesUntilMs: nowMs + gracePeriodMs * ESTIMATES_SHARE,
+        stopAtMs: nowMs + forcedStopMs,
+      });
+    });
+    this.#runStep(() => {
+      log.record("drain-started", { inFlight: callerServer.inFlight });
+    });
+    this.#runStep(() => {
+      exchange.notifyPartners();
+    });
+    await Promise.race([this.#drainCallers(forcedStop), forcedStop]);
+    this.#runStep(() => {
+      log.record("stopped", { inFlight: callerServer.inFlight });
+    });
+    this.#runStep(() => {
+      callerServer.abortRequests();
     });
-    await Promise.race([callerServer.drain(lingerMs), forcedStop]);
-    log.record("stopped", { inFlight: callerServer.inFlight });
-    callerServer.abortRequests();
+  }
+
+  // What is in flight has its time also if the drain fails.
+  async #drainCallers(forcedStop: Promise<void>): Promise<void> {
+    try {
+      await this.#options.callerServer.drain(this.#computeLingerMs());
+    } catch (error) {
+      this.#options.exceptions.report(EXCEPTION_SOURCE.stop, error);
+      await forcedStop;
+    }
+  }
+
+  #computeLingerMs(): number {
+    const { gracePeriodMs, router } = this.#options;
+    let lingerMs = gracePeriodMs * LINGER_SHARE;
+    this.#runStep(() => {
+      if (!router.hasRecentRequests()) {
+        lingerMs = Math.min(IDLE_LINGER_MS, lingerMs);
+      }
+    });
+    return lingerMs;
+  }
+
+  #runStep(step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.#options.exceptions.report(EXCEPTION_SOURCE.stop, error);
+    }
   }
 }
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -23,6 +23,7 @@
 import { FleetReach } from "./fleet_reach.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import { FleetState } from "./fleet_state.ts";
+import { stopParts } from "./part_stop.ts";
 import { PlacementRouter } from "./placement_router.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { ServerRateLimits } from "./server_rate_limits.ts";
@@ -320,31 +321,30 @@
    */
   async drain(): Promise<void> {
     await new FleetDrain({
+      ...this.#dependencies,
       gracePeriodMs: this.#settings.gracePeriodMs,
       peers: this.#peers,
       exchange: this.#exchange,
       router: this.#router,
       callerServer: this.#callerServer,
       stop: this.#stop,
-      clock: this.#dependencies.clock,
-      log: this.#dependencies.log,
     }).run();
     await this.stop();
   }
 
   /** Stops immediately and aborts in-flight requests. */
   async stop(): Promise<void> {
-    this.#registration.stop();
-    this.#reach.stop();
     clearInterval(this.#timer);
-    this.#exchange.stop();
-    for (const consumer of this.#consumers) {
-      consumer.stop();
-    }
-    this.#directory.stop();
-    await this.#callerServer.stop();
-    await this.#calls.close();
-    await this.#client.close();
+    await stopParts([
+      this.#registration,
+      this.#reach,
+      this.#exchange,
+      ...this.#consumers,
+      this.#directory,
+      this.#callerServer,
+      this.#calls,
+      this.#client,
+    ], this.#dependencies.exceptions);
   }
 
   #buildConsumers(): readonly TopicConsumer[] {
--- a/packages/entry/src/telemetry/contained_exceptions.ts
+++ b/packages/entry/src/telemetry/contained_exceptions.ts
@@ -5,6 +5,7 @@
   caller: "caller",
   directory: "directory",
   metrics: "metrics",
+  stop: "stop",
   store: "store",
 } as const;
 /** One of {@link EXCEPTION_SOURCE}. */
