fix: an exception of a call between VMs or of the exchange's timer stopped the VM

What callers saw: a reply or message that can't be encoded, a reply of another VM whose application throws, a forwarded request whose handler throws, and what a tick of the exchange throws were caught by nobody: the VM stopped (gracefully). What a handler threw was answered with 400, as if the message were odd, and left no line. Cause: calls ran as promises that nobody waited for; only the handlers had a catch. Change: the call ends: status 500, an error at the calling side, or a broken connection of the forwarded request (its sender takes the outcome for unknown); a tick ends early and the next one follows. A call to a seed that throws no longer stops the calls to all seeds. One line and a counter, source `peer`. 400 stays for what can't be read. Ruled out: 400 for all: a fault of this VM would look like one of the sender.

--- a/packages/entry/src/fleet/fleet_contacts.ts
+++ b/packages/entry/src/fleet/fleet_contacts.ts
@@ -12,6 +12,7 @@
   type FleetCallClient,
 } from "@limpetford/peer/fleet_calls";
 
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { FleetPeers, PeerState } from "./fleet_peers.ts";
 import type { FleetState } from "./fleet_state.ts";
 import type { SyncMessages } from "./sync_messages.ts";
@@ -35,6 +36,7 @@
   readonly messages: SyncMessages;
   readonly client: Pick<FleetCallClient, "sendExchange">;
   readonly clock: Clock;
+  readonly exceptions: ContainedExceptions;
   /** Addresses of VMs that are asked first at a start; they may be gone. */
   readonly seeds: readonly SocketAddress[];
 }
@@ -80,7 +82,8 @@
     this.#seedIndex += 1;
     this.#nextSeedAtMs = nowMs + SEED_INTERVAL_MS;
     this.#isCallingSeed = true;
-    void this.#sendExchange({ address: seed, peer: undefined }).then(() => {
+    const call = this.#sendExchange({ address: seed, peer: undefined });
+    void this.#options.exceptions.wait("peer", call).then(() => {
       this.#isCallingSeed = false;
     });
   }
@@ -107,7 +110,7 @@
     const due = this.#schedule.pickDue([...silent.keys()], nowMs);
     const vm = due === undefined ? undefined : silent.get(due);
     if (vm !== undefined) {
-      void this.#sendExchange(vm);
+      void this.#options.exceptions.wait("peer", this.#sendExchange(vm));
     }
   }
 
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -4,8 +4,6 @@
 import type { VmId } from "@limpetford/domain/ids";
 import type { SocketAddress, Vm } from "@limpetford/domain/vm";
 import {
-  CALL_COMPRESSION,
-  type CallCompression,
   type FleetCallClient,
   FleetCallServer,
 } from "@limpetford/peer/fleet_calls";
@@ -14,8 +12,8 @@
   FleetSyncHandlers,
   SyncMessage,
 } from "@limpetford/peer/fleet_sync";
-import { MESSAGE_CODEC_VERSION } from "@limpetford/peer/message_codec";
 
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { FleetContacts } from "./fleet_contacts.ts";
 import type { FleetReach } from "./fleet_reach.ts";
@@ -55,6 +53,8 @@
 export interface FleetExchangeOptions extends SyncMessagesOptions {
   readonly client: FleetCallClient;
   readonly loop: EventLoopMonitor;
+  /** Receives what calls and ticks throw; the next ones follow. */
+  readonly exceptions: ContainedExceptions;
   /** Peer addresses to call while no other VM is known. */
   readonly seeds: readonly SocketAddress[];
   readonly tokenIssuer: ServerTokenIssuer;
@@ -119,7 +119,7 @@
         options.tokenIssuer.handleReport(report);
       },
       handleForwarded: options.handleForwarded,
-    });
+    }, options.exceptions.buildHandler("peer"));
   }
 
   /**
@@ -167,7 +167,7 @@
     for (const vm of state.listVms()) {
       const isOther = vm.incarnation.vm !== self.incarnation.vm;
       if (isOther && vm.zone === self.zone) {
-        void this.#contacts.notifyVm(vm);
+        this.#start(this.#contacts.notifyVm(vm));
       }
     }
   }
@@ -195,18 +195,20 @@
     loop.setTimerDue(clock.readMonotonicMs() + delayMs);
     this.#timer = setTimeout(() => {
       loop.observeTimer();
-      try {
-        this.#runTick();
-      } finally {
-        this.#scheduleTick();
-      }
+      this.#runTick();
+      this.#scheduleTick();
     }, delayMs);
   }
 
   #runTick(): void {
-    if (this.#isStopped) {
-      return;
+    if (!this.#isStopped) {
+      this.#options.exceptions.run("peer", () => {
+        this.#advance();
+      });
     }
+  }
+
+  #advance(): void {
     const { clock } = this.#options;
     const nowMs = clock.readMonotonicMs();
     if (nowMs - this.#tickedAtMs > PAUSE_THRESHOLD_MS) {
@@ -230,7 +232,7 @@
       }
       if (!partner.isCalling && nowMs >= partner.nextAtMs) {
         partner.nextAtMs = nowMs + intervalMs;
-        void this.#sendExchange(vm, partner);
+        this.#start(this.#sendExchange(vm, partner));
       }
     }
   }
@@ -287,12 +289,16 @@
       partner.evidence.push(...rows);
       const vm = isUrgent ? this.#options.state.findVm(id) : undefined;
       if (vm !== undefined) {
-        void this.#sendUrgent(vm, partner.evidence, suspicions);
+        this.#start(this.#sendUrgent(vm, partner.evidence, suspicions));
         partner.evidence = [];
       }
     }
   }
 
+  #start(call: Promise<void>): void {
+    void this.#options.exceptions.wait("peer", call);
+  }
+
   // Failures are sent without waiting for the next exchange. A lost call is not
   // repeated, because evidence loses its value within seconds.
   // Suspicions are repeated by the exchange, which knows what arrived.
@@ -309,7 +315,7 @@
     }, {
       to: vm.peerAddress,
       timeoutMs: CALL_TIMEOUT_MS,
-      compression: this.#chooseCompression(vm),
+      compression: this.#messages.chooseCompression(vm),
     });
   }
 
@@ -324,7 +330,7 @@
     const reply = await this.#options.client.sendExchange(message, {
       to: vm.peerAddress,
       timeoutMs: this.#computeTimeoutMs(),
-      compression: this.#chooseCompression(vm),
+      compression: this.#messages.chooseCompression(vm),
     });
     partner.isCalling = false;
     if (reply.ok) {
@@ -345,17 +351,6 @@
     this.#runTick();
   }
 
-  // Within a zone, bytes cost less than the time to compress them.
-  #chooseCompression(vm: Vm): CallCompression {
-    const { peers, self } = this.#options;
-    if (vm.zone === self.zone) {
-      return CALL_COMPRESSION.none;
-    }
-    return peers.getPeer(vm).codec === MESSAGE_CODEC_VERSION
-      ? CALL_COMPRESSION.both
-      : CALL_COMPRESSION.reply;
-  }
-
   // If several VMs time out at once, the likely cause is slow calls rather than
   // that many failures. Another leader would be as slow, and slower still when
   // every VM calls it, so the timeout grows instead.
--- a/packages/entry/src/fleet/fleet_exchange_test.ts
+++ b/packages/entry/src/fleet/fleet_exchange_test.ts
@@ -11,17 +11,21 @@
 import type { SyncMessage } from "@limpetford/peer/fleet_sync";
 import type { PeerError } from "@limpetford/peer/peer_error";
 
+import { CollectedExceptions } from "../fakes/collected_exceptions.ts";
 import { buildEmptyConfiguration } from "../fakes/empty_configuration.ts";
 import { ExchangeSide } from "../fakes/exchange_side.ts";
 import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { resolvePort } from "../vm/free_port.ts";
 import { SystemClock } from "../vm/system_clock.ts";
 import { FleetExchange } from "./fleet_exchange.ts";
+import { FleetState } from "./fleet_state.ts";
+import { ServiceBalancers } from "./service_balancers.ts";
 
 const CUT_MS = 1_500;
 /** Time after the cut within which all VMs must know the same leaders. */
 const MEET_MS = 3_000;
 const POLL_MS = 50;
+const FAULTS = 4;
 const ZONES = ["a", "b"];
 
 // Loses all calls to the addresses of another group.
@@ -47,6 +51,7 @@
   readonly exchange: FleetExchange;
   readonly client: CuttableCallClient;
   readonly group: number;
+  readonly exceptions: CollectedExceptions;
 }
 
 function buildNode(
@@ -65,6 +70,7 @@
     configuration: buildEmptyConfiguration(1),
     position: { era: 0, offset: 0 },
   });
+  const exceptions = new CollectedExceptions();
   const client = new CuttableCallClient();
   const exchange = new FleetExchange({
     self: side.self,
@@ -78,13 +84,14 @@
     tokenIssuer: side.limits.issuer,
     reach: side.reach,
     handleForwarded: () => undefined,
+    exceptions,
     client,
     loop: new EventLoopMonitor(clock),
     clock,
     seeds: seeds.filter((seed) => seed !== peerAddress),
   });
   const group = index < ZONES.length ? 0 : 1;
-  return { side, exchange, client, group };
+  return { side, exchange, client, group, exceptions };
 }
 
 // Each VM lists the leader of its own zone first.
@@ -160,4 +167,26 @@
       isOne: true,
     });
   });
+
+  it("joins after ticks, messages and replies that throw", async () => {
+    const applyVm = jest.spyOn(FleetState.prototype, "applyVm");
+    const takeEvidence = jest.spyOn(
+      ServiceBalancers.prototype,
+      "takeEvidence",
+    );
+    await startFleet(2, 1);
+    for (const fault of [applyVm, takeEvidence]) {
+      for (let count = 0; count < FAULTS; count += 1) {
+        fault.mockImplementationOnce(() => {
+          throw new Error("fault of the exchange");
+        });
+      }
+    }
+    await waitMs(CUT_MS);
+    const views = await waitForOneGroup();
+    jest.restoreAllMocks();
+    expect(views).toEqual(["vm-0,vm-1"]);
+    const sources = nodes.flatMap(({ exceptions }) => exceptions.sources);
+    expect(sources).toEqual(Array(2 * FAULTS).fill("peer"));
+  });
 });
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -123,7 +123,7 @@
     const state = this.#state = new FleetState(clock);
     state.applyVm(self);
     const traffic = new ZoneTraffic({ self, state, metrics });
-    this.#calls = new FleetCallClient(traffic);
+    this.#calls = new FleetCallClient(traffic, exceptions.buildHandler("peer"));
     this.#peers = new FleetPeers(self, state, clock);
     const probe = new TcpConnectProbe();
     this.#directory = new DirectoryServer(
@@ -236,6 +236,7 @@
         this.#callerServer.acceptForwarded(request, response);
       },
       client: this.#calls,
+      exceptions,
       loop: this.#loop,
       clock,
       log,
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -6,6 +6,10 @@
 import type { Clock } from "@limpetford/core/time/clock";
 import { type ServerId, type TeamId, toId } from "@limpetford/domain/ids";
 import type { Vm } from "@limpetford/domain/vm";
+import {
+  CALL_COMPRESSION,
+  type CallCompression,
+} from "@limpetford/peer/fleet_calls";
 import type {
   EvidenceRow,
   ServingReport,
@@ -52,6 +56,23 @@
     this.#options = options;
   }
 
+  /**
+   * Chooses which messages of a call are compressed. Within a zone, bytes cost less
+   * than the time to compress them.
+   *
+   * @param vm - VM that is called
+   * @returns what the other VM is able to read
+   */
+  chooseCompression(vm: Vm): CallCompression {
+    const { peers, self } = this.#options;
+    if (vm.zone === self.zone) {
+      return CALL_COMPRESSION.none;
+    }
+    return peers.getPeer(vm).codec === MESSAGE_CODEC_VERSION
+      ? CALL_COMPRESSION.both
+      : CALL_COMPRESSION.reply;
+  }
+
   /**
    * Applies a message of another VM.
    *
--- a/packages/entry/src/telemetry/contained_exceptions.ts
+++ b/packages/entry/src/telemetry/contained_exceptions.ts
@@ -5,6 +5,7 @@
   caller: "caller",
   directory: "directory",
   metrics: "metrics",
+  peer: "peer",
   stop: "stop",
   store: "store",
 } as const;
@@ -21,4 +22,44 @@
    * @param error - whatever was thrown
    */
   abstract report(source: ExceptionSource, error: unknown): void;
+
+  /**
+   * Builds a handler of exceptions.
+   *
+   * @param source - what they come from
+   * @returns reports an exception
+   */
+  buildHandler(source: ExceptionSource): (error: unknown) => void {
+    return (error) => {
+      this.report(source, error);
+    };
+  }
+
+  /**
+   * Runs a step, and reports what it throws.
+   *
+   * @param source - what the step comes from
+   * @param step - ends early if it throws
+   */
+  run(source: ExceptionSource, step: () => void): void {
+    try {
+      step();
+    } catch (error) {
+      this.report(source, error);
+    }
+  }
+
+  /**
+   * Waits for work, and reports what it throws.
+   *
+   * @param source - what the work comes from
+   * @param work - ends early if it throws
+   */
+  async wait(source: ExceptionSource, work: Promise<unknown>): Promise<void> {
+    try {
+      await work;
+    } catch (error) {
+      this.report(source, error);
+    }
+  }
 }
--- a/packages/peer/src/fleet_calls.ts
+++ b/packages/peer/src/fleet_calls.ts
@@ -66,6 +66,7 @@
 const STATUS_OK = 200;
 const STATUS_BAD_REQUEST = 400;
 const STATUS_NOT_FOUND = 404;
+const STATUS_FAILED = 500;
 const CONNECT_TIMEOUT_MS = 250;
 const IDLE_TIMEOUT_MS = 10_000;
 /** Headers of a caller's request, and what a VM adds to forward it. */
@@ -110,6 +111,13 @@
   return headers[ENCODING_HEADER] === COMPRESSED_ENCODING;
 }
 
+/** Receives what is thrown in a call; only the call ends. */
+export type CallExceptionHandler = (error: unknown) => void;
+
+function dropException(): void {
+  return;
+}
+
 /** Sends calls to the other VMs. */
 export class FleetCallClient {
   readonly #agent = new Agent({
@@ -120,14 +128,20 @@
     bodyTimeout: 0,
   });
   readonly #traffic: CallTraffic | undefined;
+  readonly #handleException: CallExceptionHandler;
 
   /**
    * Creates a client without connections.
    *
    * @param traffic - receives the sizes of calls, if any one needs them
+   * @param handleException - receives what an odd message throws
    */
-  constructor(traffic?: CallTraffic) {
+  constructor(
+    traffic?: CallTraffic,
+    handleException: CallExceptionHandler = dropException,
+  ) {
     this.#traffic = traffic;
+    this.#handleException = handleException;
   }
 
   /**
@@ -214,7 +228,14 @@
     message: unknown,
     { to, timeoutMs, compression = CALL_COMPRESSION.none }: FleetCallOptions,
   ): Promise<Result<Reply, PeerError>> {
-    const body = encodeMessage(message, compression === CALL_COMPRESSION.both);
+    let body: Buffer;
+    try {
+      body = encodeMessage(message, compression === CALL_COMPRESSION.both);
+    } catch (error) {
+      this.#handleException(error);
+      const cause = "the message can't be encoded";
+      return makeError({ kind: "peer-reply-lost", cause });
+    }
     try {
       // A timeout closes the connection, since the peer may no longer respond.
       const response = await this.#agent.request({
@@ -249,15 +270,21 @@
 /** Serves the calls of the other VMs. */
 export class FleetCallServer {
   readonly #handlers: FleetSyncHandlers;
+  readonly #handleException: CallExceptionHandler;
   readonly #server: http.Server;
 
   /**
    * Creates a server that does not listen yet.
    *
    * @param handlers - handlers of the calls
+   * @param handleException - receives what handlers and their replies throw
    */
-  constructor(handlers: FleetSyncHandlers) {
+  constructor(
+    handlers: FleetSyncHandlers,
+    handleException: CallExceptionHandler = dropException,
+  ) {
     this.#handlers = handlers;
+    this.#handleException = handleException;
     this.#server = http.createServer(
       {
         keepAliveTimeout: SERVER_IDLE_TIMEOUT_MS,
@@ -265,11 +292,10 @@
         requireHostHeader: false,
       },
       (request, response) => {
-        if (request.headers[FORWARDED_HEADER] !== undefined) {
-          this.#handlers.handleForwarded(request, response);
-          return;
-        }
-        void this.#handleCall(request, response);
+        this.#serve(request, response).catch((error: unknown) => {
+          this.#handleException(error);
+          response.destroy();
+        });
       },
     );
   }
@@ -295,32 +321,42 @@
     this.#server.closeAllConnections();
   }
 
-  async #handleCall(
+  async #serve(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const chunks: Buffer[] = [];
-    let reply: unknown;
+    if (request.headers[FORWARDED_HEADER] !== undefined) {
+      this.#handlers.handleForwarded(request, response);
+      return;
+    }
     response.sendDate = false;
+    let message: unknown;
     try {
-      for await (const chunk of request) {
-        chunks.push(chunk as Buffer);
-      }
-      const bytes = Buffer.concat(chunks);
-      const message = decodeMessage(bytes, isCompressed(request.headers));
-      reply = this.#selectReply(request.url ?? "", message);
+      message = await readMessage(request);
     } catch {
       // The sender aborted, or is not a VM of this fleet.
       response.writeHead(STATUS_BAD_REQUEST).end();
       return;
     }
-    if (reply === undefined) {
+    const path = Object.values(PATH).find((known) => known === request.url);
+    if (path === undefined) {
       response.writeHead(STATUS_NOT_FOUND).end();
       return;
     }
+    if (!REQUEST_SCHEMAS[path].safeParse(message).success) {
+      response.writeHead(STATUS_BAD_REQUEST).end();
+      return;
+    }
     const mayCompress =
       request.headers[ACCEPTED_HEADER] === COMPRESSED_ENCODING;
-    const body = encodeMessage(reply, mayCompress);
+    let body: Buffer;
+    try {
+      body = encodeMessage(this.#selectReply(path, message), mayCompress);
+    } catch (error) {
+      this.#handleException(error);
+      response.writeHead(STATUS_FAILED).end();
+      return;
+    }
     response.writeHead(STATUS_OK, {
       "content-length": body.length,
       ...mayCompress ? { [ENCODING_HEADER]: COMPRESSED_ENCODING } : {},
@@ -328,14 +364,7 @@
     response.end(body);
   }
 
-  #selectReply(target: string, message: unknown): unknown {
-    const path = Object.values(PATH).find((known) => known === target);
-    if (path === undefined) {
-      return undefined;
-    }
-    if (!REQUEST_SCHEMAS[path].safeParse(message).success) {
-      throw new Error("malformed message");
-    }
+  #selectReply(path: CallPath, message: unknown): unknown {
     switch (path) {
       case PATH.exchange:
         return this.#handlers.handleExchange(message as SyncMessage);
@@ -354,3 +383,11 @@
     }
   }
 }
+
+async function readMessage(request: http.IncomingMessage): Promise<unknown> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+  }
+  return decodeMessage(Buffer.concat(chunks), isCompressed(request.headers));
+}
