fix: one exception ended the timers of waiting requests and of checks for good

What callers saw: an exception while requests that wait for a slot are decided on, or in a check of the links to servers, came out of a timer: the VM stopped (gracefully), and meanwhile the requests waiting for all services were looked at only when another one came, and links were not checked. Of the four regular steps of the VM, those behind one that throws did not run. Cause: these timers ran without a catch, and set themselves again only at their end. Change: each service's decision, each regular step and each check is run on its own; the others and the next turn follow. One line and a counter, source `timer`; the log's limit bounds the lines of a step that throws at each turn. Ruled out: ending the timer after many exceptions: nothing would refuse what waits.

--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -25,6 +25,7 @@
 import { FleetState } from "./fleet_state.ts";
 import { stopParts } from "./part_stop.ts";
 import { PlacementRouter } from "./placement_router.ts";
+import { startRegularSteps } from "./regular_steps.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { ServerRateLimits } from "./server_rate_limits.ts";
 import { ServerReachMonitor } from "./server_reach_monitor.ts";
@@ -146,13 +147,11 @@
       },
     });
     this.#limits = new ServerRateLimits({
+      ...dependencies,
       self,
       state,
       peers: this.#peers,
       calls: this.#calls,
-      clock,
-      random,
-      log,
       notifyChange,
     });
     this.#balancers = new ServiceBalancers({
@@ -165,11 +164,9 @@
       findRateLimit: (server) => this.#limits.findRateLimit(server),
     });
     this.#reach = new ServerReachMonitor({
+      ...dependencies,
       balancers: this.#balancers,
       probe,
-      clock,
-      random,
-      log,
       handleChange: (change, addresses) => {
         this.#handleReachChange(change, addresses);
       },
@@ -183,20 +180,17 @@
       notifyChange,
     });
     const forwarder = new RequestForwarder({
+      ...dependencies,
       self,
       state,
       peers: this.#peers,
       balancers: this.#balancers,
       traffic,
-      clock,
-      random,
-      log,
     });
     this.#router = new PlacementRouter({
+      ...dependencies,
       balancers: this.#balancers,
       state,
-      clock,
-      log,
       guard: this.#crashes.guard,
       limits: this.#limits,
       traffic,
@@ -308,12 +302,18 @@
       void consumer.run();
     }
     await this.#exchange.start();
-    this.#timer = setInterval(() => {
-      this.#servers.expireRemoved();
-      this.#crashes.update();
-      this.#limits.update();
-      void this.#storeEra.writeIfDue();
-    }, MAINTENANCE_INTERVAL_MS);
+    this.#timer = startRegularSteps(MAINTENANCE_INTERVAL_MS, exceptions, [
+      (): void => {
+        this.#servers.expireRemoved();
+      },
+      (): void => {
+        this.#crashes.update();
+      },
+      (): void => {
+        this.#limits.update();
+      },
+      () => this.#storeEra.writeIfDue(),
+    ]);
   }
 
   /**
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -15,6 +15,7 @@
   ServerRouter,
 } from "../ports/server_router.ts";
 import { UNUSED_SAMPLE } from "../serving/lazy_slot_request.ts";
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { CrashGuard } from "./crash_guard.ts";
 import { buildDemand, readServiceId } from "./demand_builder.ts";
 import type { FleetLog } from "./fleet_log.ts";
@@ -53,6 +54,7 @@
   readonly reach: ServerReachMonitor;
   readonly forwarder: RequestForwarder;
   readonly stop: StopSchedule;
+  readonly exceptions: ContainedExceptions;
   /** Called when there is something to tell the other VMs. */
   readonly notifyChange: () => void;
 }
@@ -84,6 +86,7 @@
     this.#notices = new ServerNotices(options);
     this.#waiting = new WaitingRequests({
       balancers: options.balancers,
+      exceptions: options.exceptions,
       mayEndInTime: (service, request) => this.#mayEndInTime(service, request),
       decide: (service) => {
         this.#decideWaiting(service);
--- a/packages/entry/src/fleet/server_reach_monitor.ts
+++ b/packages/entry/src/fleet/server_reach_monitor.ts
@@ -8,6 +8,7 @@
 import { SERVER_STATE } from "@limpetford/domain/service";
 import type { SocketAddress } from "@limpetford/domain/vm";
 
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { ConnectProbe, ConnectResult } from "./connect_probe.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { Balancer, ServiceBalancers } from "./service_balancers.ts";
@@ -25,6 +26,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: FleetLog;
+  /** Receives what a check throws; the next one follows. */
+  readonly exceptions: ContainedExceptions;
   /** Called when the servers of a service became unreachable or reachable. */
   readonly handleChange: (
     change: Exclude<ReachChange, "none">,
@@ -59,7 +62,7 @@
     }
     this.#timer = setTimeout(() => {
       this.#timer = undefined;
-      if (this.#checkAll()) {
+      if (this.#mayNeedMore()) {
         this.schedule();
       }
     }, CHECK_INTERVAL_MS);
@@ -115,6 +118,15 @@
     }));
   }
 
+  #mayNeedMore(): boolean {
+    try {
+      return this.#checkAll();
+    } catch (error) {
+      this.#options.exceptions.report("timer", error);
+      return true;
+    }
+  }
+
   #checkAll(): boolean {
     const nowMs = this.#options.clock.readMonotonicMs();
     let isNeeded = false;
@@ -125,7 +137,10 @@
         .map(({ announced }) => announced.id);
       reach.recordOverdue(overdue, nowMs);
       if (reach.shouldProbe(servers.length, nowMs)) {
-        void this.#runRound(service, balancer);
+        void this.#options.exceptions.wait(
+          "timer",
+          this.#runRound(service, balancer),
+        );
       }
       const isOpen = reach.isUnreachable || reach.isInDoubt;
       isNeeded ||= (isOpen && servers.length > 0) ||
--- a/packages/entry/src/fleet/waiting_requests.ts
+++ b/packages/entry/src/fleet/waiting_requests.ts
@@ -3,6 +3,7 @@
 import type { Waiter } from "@limpetford/core/placement/wait_queue";
 
 import type { PlacementRequest } from "../ports/server_router.ts";
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type {
   Balancer,
   PendingPlacement,
@@ -19,7 +20,9 @@
 
 /** Dependencies of {@link WaitingRequests}. */
 export interface WaitingRequestsOptions {
-  readonly balancers: ServiceBalancers;
+  readonly balancers: Pick<ServiceBalancers, "list">;
+  /** Receives what a decision throws; those on other services follow. */
+  readonly exceptions: ContainedExceptions;
   /** Returns false if this VM stops before the request may have ended. */
   readonly mayEndInTime: (
     service: Balancer,
@@ -108,9 +111,12 @@
   }
 
   #checkQueues(): void {
-    const services = this.#options.balancers.list();
+    const { balancers, exceptions, decide } = this.#options;
+    const services = balancers.list();
     services.forEach((service) => {
-      this.#options.decide(service);
+      exceptions.run("timer", () => {
+        decide(service);
+      });
     });
     if (services.some((service) => service.waitingCount > 0)) {
       this.#scheduleTick();
--- a/packages/entry/src/telemetry/contained_exceptions.ts
+++ b/packages/entry/src/telemetry/contained_exceptions.ts
@@ -8,6 +8,7 @@
   peer: "peer",
   stop: "stop",
   store: "store",
+  timer: "timer",
 } as const;
 /** One of {@link EXCEPTION_SOURCE}. */
 export type ExceptionSource =
