fix: the product's own command did not report contained exceptions

What callers saw: nothing; exceptions that end one request left no line and no counter in the process of `limpetford serve`, which passed no reporter to its VM. The meaning of the event names requests and steps. odd_input_test and huge_timeout_test ask for no contained exception either: since exceptions at the callers' address are contained, asking for no uncaught one alone would pass over them.

--- a/packages/entry/src/command/vm_process.ts
+++ b/packages/entry/src/command/vm_process.ts
@@ -17,6 +17,7 @@
 import { ServingMetrics } from "../telemetry/serving_metrics.ts";
 import type { SpanRecorder } from "../telemetry/span_recorder.ts";
 import { StateLog } from "../telemetry/state_log.ts";
+import { StateLogExceptions } from "../telemetry/state_log_exceptions.ts";
 import { StatsdMetrics } from "../telemetry/statsd_metrics.ts";
 import { EntryVm } from "../vm/entry_vm.ts";
 import { SystemClock } from "../vm/system_clock.ts";
@@ -115,6 +116,7 @@
       clock: new SystemClock(),
       random: new SeededRandomSource(randomInt(SEED_RANGE)),
       metrics: this.#metrics,
+      exceptions: new StateLogExceptions(this.#log, this.#metrics),
       ...this.#spans === undefined ? {} : { spans: this.#spans },
     });
     this.#recordConfigurationChanges(vm);
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -27,7 +27,7 @@
   "exception-contained": {
     level: "error",
     meaning:
-      "a fault of the program: something threw, and only the connection or call of `source` that it came from ended",
+      "a fault of the program: something threw, and only the request, connection, call or step of `source` that it came from ended",
     fields: { source: "text", cause: "text", stack: "text" },
   },
   "settings-reloaded": {
--- a/packages/entry/src/telemetry/state_log.ts
+++ b/packages/entry/src/telemetry/state_log.ts
@@ -16,6 +16,12 @@
   | { readonly kind: "drain-timed-out" }
   | { readonly kind: "stopped" }
   | { readonly kind: "start-failed"; readonly cause: string }
+  | {
+    readonly kind: "exception-contained";
+    readonly source: string;
+    readonly cause: string;
+    readonly stack: string;
+  }
   | {
     readonly kind: "exception-uncaught";
     readonly cause: string;
@@ -41,6 +47,7 @@
   "drain-timed-out": "error",
   "stopped": "info",
   "start-failed": "error",
+  "exception-contained": "error",
   "exception-uncaught": "error",
 };
 
--- a/packages/entry/src/telemetry/telemetry_test.ts
+++ b/packages/entry/src/telemetry/telemetry_test.ts
@@ -7,8 +7,10 @@
 import type { SpanExporter } from "@opentelemetry/sdk-trace-base";
 
 import { OtelSpanRecorder } from "./otel_span_recorder.ts";
+import { ServingMetrics } from "./serving_metrics.ts";
 import { SpanRecorder } from "./span_recorder.ts";
 import { StateLog } from "./state_log.ts";
+import { StateLogExceptions } from "./state_log_exceptions.ts";
 import { StatsdMetrics } from "./statsd_metrics.ts";
 
 const PARENT = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
@@ -124,4 +126,16 @@
       }),
     ]);
   });
+
+  it("names the source of a contained exception", () => {
+    const stream = new PassThrough();
+    const log = new StateLog({ level: "error", vm: "vm-1", stream });
+    new StateLogExceptions(log, new ServingMetrics())
+      .report("caller", new Error("odd"));
+    expect(JSON.parse(String(stream.read()))).toMatchObject({
+      message: "exception-contained",
+      source: "caller",
+      cause: "Error: odd",
+    });
+  });
 });
--- a/packages/entry/src/vm/vm_parts.ts
+++ b/packages/entry/src/vm/vm_parts.ts
@@ -114,7 +114,7 @@
     fleet,
     random,
   });
-  const { metrics, spans } = dependencies;
+  const { metrics, spans, exceptions } = dependencies;
   const ports: ServingPorts = {
     configuration,
     rateLimiter,
@@ -125,6 +125,7 @@
     random,
     ...metrics === undefined ? {} : { metrics },
     ...spans === undefined ? {} : { spans },
+    ...exceptions === undefined ? {} : { exceptions },
   };
   return {
     ports,
--- a/packages/standins/src/fleet/huge_timeout_test.ts
+++ b/packages/standins/src/fleet/huge_timeout_test.ts
@@ -44,6 +44,7 @@
     });
     await waitMs(SETTLE_MS);
     expect(vm.log).not.toContain("exception-uncaught");
+    expect(vm.log).not.toContain("exception-contained");
     expect(status).toBe(STATUS_OK);
   });
 });
--- a/packages/standins/src/fleet/odd_input_test.ts
+++ b/packages/standins/src/fleet/odd_input_test.ts
@@ -39,7 +39,7 @@
 const INTRODUCE_MS = 40;
 /** Time within which records are read and passed on. */
 const SPREAD_MS = 400;
-const UNCAUGHT = /exception-uncaught[^\n]*/g;
+const EXCEPTION = /exception-(?:uncaught|contained)[^\n]*/g;
 
 function sendRaw(
   address: SocketAddress,
@@ -77,7 +77,7 @@
 
   function expectAlive(): void {
     for (const vm of fleet.vms) {
-      expect(vm.log.match(UNCAUGHT) ?? []).toEqual([]);
+      expect(vm.log.match(EXCEPTION) ?? []).toEqual([]);
       expect(vm.isRunning()).toBe(true);
     }
   }
