--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -24,7 +24,9 @@
 import { FleetReach } from "./fleet_reach.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import { FleetState } from "./fleet_state.ts";
+import { stopParts } from "./part_stop.ts";
 import { PlacementRouter } from "./placement_router.ts";
+import { startRegularSteps } from "./regular_steps.ts";
 import { RequestForwarder } from "./request_forwarder.ts";
 import { ServerRateLimits } from "./server_rate_limits.ts";
 import { ServerReachMonitor } from "./server_reach_monitor.ts";
@@ -123,7 +125,7 @@
     const state = this.#state = new FleetState(clock);
     state.applyVm(self);
     const traffic = new ZoneTraffic({ self, state, metrics });
-    this.#calls = new FleetCallClient(traffic);
+    this.#calls = new FleetCallClient(traffic, exceptions.buildHandler("peer"));
     this.#peers = new FleetPeers(self, state, clock);
     const probe = new TcpConnectProbe();
     this.#directory = new DirectoryServer(
@@ -146,13 +148,11 @@
       },
     });
     this.#limits = new ServerRateLimits({
+      ...dependencies,
       self,
       state,
       peers: this.#peers,
       calls: this.#calls,
-      clock,
-      random,
-      log,
       notifyChange,
     });
     this.#balancers = new ServiceBalancers({
@@ -165,11 +165,9 @@
       findRateLimit: (server) => this.#limits.findRateLimit(server),
     });
     this.#reach = new ServerReachMonitor({
+      ...dependencies,
       balancers: this.#balancers,
       probe,
-      clock,
-      random,
-      log,
       handleChange: (change, addresses) => {
         this.#handleReachChange(change, addresses);
       },
@@ -183,20 +181,17 @@
       notifyChange,
     });
     const forwarder = new RequestForwarder({
+      ...dependencies,
       self,
       state,
       peers: this.#peers,
       balancers: this.#balancers,
       traffic,
-      clock,
-      random,
-      log,
     });
     this.#router = new PlacementRouter({
+      ...dependencies,
       balancers: this.#balancers,
       state,
-      clock,
-      log,
       guard: this.#crashes.guard,
       limits: this.#limits,
       traffic,
@@ -236,6 +231,7 @@
         this.#callerServer.acceptForwarded(request, response);
       },
       client: this.#calls,
+      exceptions,
       loop: this.#loop,
       clock,
       log,
@@ -272,6 +268,7 @@
       random,
       log,
       metrics,
+      exceptions,
       heapLimitBytes: dependencies.heapLimitBytes,
     });
   }
@@ -280,8 +277,9 @@
   async start(): Promise<void> {
     const { self, directoryAddress, readyAddress, metricsAddress } =
       this.#settings;
+    const { metrics, exceptions } = this.#dependencies;
     if (metricsAddress !== undefined) {
-      addFleetGauges(this.#dependencies.metrics, {
+      addFleetGauges(metrics, {
         state: this.#state,
         peers: this.#peers,
         balancers: this.#balancers,
@@ -290,8 +288,8 @@
         loop: this.#loop,
         callerServer: this.#callerServer,
       });
-      this.#crashes.addGauges(this.#dependencies.metrics);
-      await this.#dependencies.metrics.start(metricsAddress);
+      this.#crashes.addGauges(metrics);
+      await metrics.start(metricsAddress, exceptions);
     }
     await this.#directory.start([directoryAddress, readyAddress]);
     await this.#callerServer.start();
@@ -306,12 +304,18 @@
       void consumer.run();
     }
     await this.#exchange.start();
-    this.#timer = setInterval(() => {
-      this.#servers.expireRemoved();
-      this.#crashes.update();
-      this.#limits.update();
-      void this.#storeEra.writeIfDue();
-    }, MAINTENANCE_INTERVAL_MS);
+    this.#timer = startRegularSteps(MAINTENANCE_INTERVAL_MS, exceptions, [
+      (): void => {
+        this.#servers.expireRemoved();
+      },
+      (): void => {
+        this.#crashes.update();
+      },
+      (): void => {
+        this.#limits.update();
+      },
+      () => this.#storeEra.writeIfDue(),
+    ]);
   }
 
   /**
@@ -320,31 +324,30 @@
    */
   async drain(): Promise<void> {
     await new FleetDrain({
+      ...this.#dependencies,
       gracePeriodMs: this.#settings.gracePeriodMs,
       peers: this.#peers,
       exchange: this.#exchange,
       router: this.#router,
       callerServer: this.#callerServer,
       stop: this.#stop,
-      clock: this.#dependencies.clock,
-      log: this.#dependencies.log,
     }).run();
     await this.stop();
   }
 
   /** Stops immediately and aborts in-flight requests. */
   async stop(): Promise<void> {
-    this.#registration.stop();
-    this.#reach.stop();
     clearInterval(this.#timer);
-    this.#exchange.stop();
-    for (const consumer of this.#consumers) {
-      consumer.stop();
-    }
-    this.#directory.stop();
-    await this.#callerServer.stop();
-    await this.#calls.close();
-    await this.#client.close();
+    await stopParts([
+      this.#registration,
+      this.#reach,
+      this.#exchange,
+      ...this.#consumers,
+      this.#directory,
+      this.#callerServer,
+      this.#calls,
+      this.#client,
+    ], this.#dependencies.exceptions);
   }
 
   #buildConsumers(): readonly TopicConsumer[] {
--- a/packages/entry/src/telemetry/state_log.ts
+++ b/packages/entry/src/telemetry/state_log.ts
@@ -17,6 +17,12 @@
   | { readonly kind: "drain-timed-out" }
   | { readonly kind: "stopped" }
   | { readonly kind: "start-failed"; readonly cause: string }
+  | {
+    readonly kind: "exception-contained";
+    readonly source: string;
+    readonly cause: string;
+    readonly stack: string;
+  }
   | {
     readonly kind: "exception-uncaught";
     readonly cause: string;
@@ -42,6 +48,7 @@
   "drain-timed-out": "error",
   "stopped": "info",
   "start-failed": "error",
+  "exception-contained": "error",
   "exception-uncaught": "error",
 };
 
