fix: a withdrawn key stays refused if all VMs were killed while the store returned

Callers with the withdrawn key got 200 from 2.3 s after the start of the VMs until then. CONFIG allows no such request at any machine, and sets operators no time.

Cause, two ways: - A VM that knows nothing from before the return took the copy for complete 2.3 s after it first saw the era. A VM that remembers a newer version waits for it as long as the operator needs, but here none does. - The record that tells VMs which start later that the era is complete was written after 2.3 s too, also by VMs that still missed their configuration. If they were killed then, the next ones believed the copy at once.

Change: a VM that first hears of an era above 0 waits 6 s, or 2.3 s once a later record of the configuration has come in that era.

Cost: keys are refused 3.7 s longer after a return in which all VMs were killed and the configuration was not lost. VMs that reach an informed VM or find the record are not affected.

Ruled out: refusing until the operator writes, since one who lost nothing does not write.

--- a/packages/entry/src/fleet/fleet_state.ts
+++ b/packages/entry/src/fleet/fleet_state.ts
@@ -114,6 +114,7 @@
       if (configuration.version <= version) {
         return false;
       }
+      this.#eras.observeRewrite(this.#active.position, position);
     }
     this.#active = logged;
     this.#routes = new HostRouteIndex(configuration.routes);
@@ -153,6 +154,7 @@
       active?.configuration.version === version &&
       compareLogPositions(position, active.position) > 0
     ) {
+      this.#eras.observeRewrite(active.position, position);
       this.#active = { ...active, position };
     }
   }
@@ -202,15 +204,6 @@
     this.#eras.markSettled(era);
   }
 
-  /**
-   * Checks whether the store is complete again after its last return.
-   *
-   * @returns false while what it has lost may still be written again
-   */
-  isStoreSettled(): boolean {
-    return this.#eras.isSettled(this.#clock.readMonotonicMs());
-  }
-
   /**
    * Adds a listener for returns of the store from a copy.
    *
--- a/packages/entry/src/fleet/fleet_state_test.ts
+++ b/packages/entry/src/fleet/fleet_state_test.ts
@@ -65,4 +65,50 @@
     state.markStoreEraSettled(1);
     expect(state.isConfigurationProvable()).toBe(true);
   });
+
+  describe("of a VM that has started after a return of the store", () => {
+    beforeEach(() => {
+      state = new FleetState(clock);
+      state.observeStoreEra(1);
+      applyVersion(8, 38);
+    });
+
+    function applyVersion(version: number, offset: number): void {
+      state.applyConfiguration({
+        configuration: buildEmptyConfiguration(version),
+        position: { era: 1, offset },
+      });
+    }
+
+    it("proves nothing while the operators may be 4 s late", () => {
+      clock.advance(5_999);
+      expect(state.isConfigurationProvable()).toBe(false);
+      clock.advance(1);
+      expect(state.isConfigurationProvable()).toBe(true);
+    });
+
+    it.each([
+      { name: "a newer configuration", version: 9 },
+      { name: "the same configuration again", version: 8 },
+    ])("does not wait longer once they wrote $name", ({ version }) => {
+      clock.advance(2_300);
+      applyVersion(version, 39);
+      expect(state.isConfigurationProvable()).toBe(true);
+    });
+
+    it("waits no longer at the next return", () => {
+      state.observeStoreEra(2);
+      state.applyConfiguration({
+        configuration: buildEmptyConfiguration(8),
+        position: { era: 2, offset: 38 },
+      });
+      clock.advance(2_300);
+      expect(state.isConfigurationProvable()).toBe(true);
+    });
+
+    it("trusts the era at once that an earlier VM found complete", () => {
+      state.markStoreEraSettled(1);
+      expect(state.isConfigurationProvable()).toBe(true);
+    });
+  });
 });
--- a/packages/entry/src/fleet/store_era_record.ts
+++ b/packages/entry/src/fleet/store_era_record.ts
@@ -24,7 +24,8 @@
 /**
  * Reads and writes the record. A store that has just returned from a copy has
  * the record of an earlier era or none, so that a VM which starts then does not
- * take an older configuration for the newest.
+ * take an older configuration for the newest. So has one whose operators have not
+ * written the configuration again.
  */
 export class StoreEraRecord {
   readonly #options: StoreEraRecordOptions;
@@ -66,7 +67,8 @@
     const { client, state, log, isWriter } = this.#options;
     const era = state.storeEra;
     if (
-      this.#isWriting || era <= this.#writtenEra || !state.isStoreSettled() ||
+      this.#isWriting || era <= this.#writtenEra ||
+      !state.isConfigurationProvable() ||
       !isWriter()
     ) {
       return;
--- a/packages/standins/src/fleet/store_copy_test.ts
+++ b/packages/standins/src/fleet/store_copy_test.ts
@@ -16,6 +16,8 @@
 const AWAY_MS = 700;
 /** Time from the return until the operator writes its records again. */
 const REWRITE_MS = 400;
+/** The same for operators who are late. */
+const LATE_REWRITE_MS = 4_000;
 /** A twentieth of the reads that the users' store allows in a second. */
 const MAX_CALLS_PER_SECOND = 100;
 
@@ -83,6 +85,44 @@
     40_000,
   );
 
+  // No process is left that knows the configuration which withdrew the key.
+  it(
+    "does not bring a withdrawn key back to a fleet that was killed",
+    async () => {
+      const copy = fleet.store.buildCopy();
+      publishConfiguration(fleet.store, 2, { key: NEW_KEY });
+      await fleet.waitUntil(async () =>
+        (await readStatuses(OLD_KEY)).every((status) =>
+          status === STATUS_UNAUTHORIZED
+        )
+      );
+      fleet.store.fault = STORE_FAULT.busy;
+      for (const vm of fleet.vms) {
+        vm.sendSignal("SIGKILL");
+        await vm.waitForExit();
+      }
+      fleet.store.restore(copy);
+      fleet.store.fault = STORE_FAULT.none;
+      const rewriteAtMs = Date.now() + LATE_REWRITE_MS;
+      await Promise.all(fleet.vms.map((vm) => fleet.startIfStopped(vm)));
+      await fleet.waitUntil(() => fleet.isFleetReady());
+      const seen: number[] = [];
+      while (Date.now() < rewriteAtMs) {
+        seen.push(...await readStatuses(OLD_KEY));
+        await waitMs(50);
+      }
+      expect(seen.length).toBeGreaterThan(0);
+      expect(seen).not.toContain(STATUS_OK);
+      publishConfiguration(fleet.store, 2, { key: NEW_KEY });
+      await fleet.waitUntil(async () =>
+        (await readStatuses(NEW_KEY)).every((status) => status === STATUS_OK)
+      );
+      const after = await readStatuses(OLD_KEY);
+      expect(after).toEqual(after.map(() => STATUS_UNAUTHORIZED));
+    },
+    40_000,
+  );
+
   it("does not bring a withdrawn key back", async () => {
     const copy = fleet.store.buildCopy();
     publishConfiguration(fleet.store, 2, { key: NEW_KEY });
