fix: bytes that name no request do not take a server out as leaving

One answer that names its request or is signed may, until the server starts again, since a server that leaves says so in all.

Change: Server-Leaving is read only from answers with Request-Id or Server-Signature. Pauses and limits end by themselves and are read as before. What stays: an answer with neither that is passed on (a plain 500 on a new connection) does not start DRAIN here; the server's next answer does.

--- a/packages/platform/src/store/http_headers.ts
+++ b/packages/platform/src/store/http_headers.ts
@@ -132,14 +132,20 @@
   status: number,
   headers: HeaderTable,
 ): ServerResponseHeaders {
+  const requestId = findHeader(headers, WIRE_HEADER.requestId);
+  const isSigned = headers[WIRE_HEADER.signature] !== undefined;
+  const notice = status === STATUS_MISDIRECTED
+    ? undefined
+    : parseNotice(status, headers);
+  // Servers echo the request's identifier. Other bytes must not take a server out
+  // until it starts again.
+  const mayLeave = requestId !== undefined || isSigned;
   return {
-    requestId: findHeader(headers, WIRE_HEADER.requestId),
+    requestId,
     isNotRun: status === STATUS_MISDIRECTED ||
       headers[WIRE_HEADER.notRun] !== undefined,
-    isSigned: headers[WIRE_HEADER.signature] !== undefined,
-    notice: status === STATUS_MISDIRECTED
-      ? undefined
-      : parseNotice(status, headers),
+    isSigned,
+    notice: notice && { ...notice, isLeaving: notice.isLeaving && mayLeave },
   };
 }
 
