--- a/packages/entry/src/fleet/fleet_settings.ts
+++ b/packages/entry/src/fleet/fleet_settings.ts
@@ -10,7 +10,11 @@
   type ZoneId,
 } from "@limpetford/domain/ids";
 import { makeError, makeOk, type Result } from "@limpetford/domain/result";
-import type { SocketAddress, Vm } from "@limpetford/domain/vm";
+import {
+  formatAddress,
+  type SocketAddress,
+  type Vm,
+} from "@limpetford/domain/vm";
 import * as z from "zod";
 
 import type { SettingsError } from "../settings/settings_error.ts";
@@ -139,3 +143,16 @@
     logLevel: rest.logLevel,
   });
 }
+
+/**
+ * Lists the VMs that this VM asks first for the others.
+ *
+ * @param settings - settings of this VM
+ * @returns addresses for calls of other VMs, without this VM's own
+ */
+export function listOtherSeeds(
+  { seeds, self }: Pick<FleetSettings, "seeds" | "self">,
+): readonly SocketAddress[] {
+  const own = formatAddress(self.peerAddress);
+  return seeds.filter((seed) => formatAddress(seed) !== own);
+}
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -22,7 +22,7 @@
 import type { FleetLog } from "./fleet_log.ts";
 import { FleetPeers } from "./fleet_peers.ts";
 import { FleetReach } from "./fleet_reach.ts";
-import type { FleetSettings } from "./fleet_settings.ts";
+import { type FleetSettings, listOtherSeeds } from "./fleet_settings.ts";
 import { FleetState } from "./fleet_state.ts";
 import { stopParts } from "./part_stop.ts";
 import { PlacementRouter } from "./placement_router.ts";
@@ -107,9 +107,7 @@
     };
     this.#settings = settings;
     this.#dependencies = dependencies;
-    const otherSeeds = settings.seeds.filter((seed) =>
-      formatAddress(seed) !== formatAddress(self.peerAddress)
-    );
+    const otherSeeds = listOtherSeeds(settings);
     this.#reads = new StoreReadSchedule({
       clock,
       random,
