--- a/packages/standins/src/fleet/fleet_processes.ts
+++ b/packages/standins/src/fleet/fleet_processes.ts
@@ -24,7 +24,11 @@
 import { TcpFaultProxy } from "../platform/tcp_fault_proxy.ts";
 import { VM_BOUNDS } from "./vm_bounds.ts";
 import { VM_PORTS } from "./vm_ports.ts";
-import { type ServerLinkFault, VmProcessHandle } from "./vm_process_handle.ts";
+import {
+  type ServerLinkFault,
+  VmProcessHandle,
+  type VmProgram,
+} from "./vm_process_handle.ts";
 
 /** Port of every VM for its callers. */
 export const CALLER_PORT = VM_PORTS.caller;
@@ -34,11 +38,9 @@
 const DEFAULT_TIMEOUT_MS = 15_000;
 
 /** Settings shared by all processes of a fleet. */
-export interface FleetProcessesOptions {
+export interface FleetProcessesOptions extends VmProgram {
   /** Lowest severity that the processes log. */
   readonly logLevel: "error" | "warn" | "info" | "debug";
-  /** Flags of Node for all processes; none by default. */
-  readonly nodeFlags?: readonly string[];
 }
 
 /** Starts, queries and stops the processes of a fleet and its stand-ins. */
@@ -60,6 +62,7 @@
   #announceTimer: NodeJS.Timeout | undefined;
   #sequence = 0;
   #configurationVersion = 0;
+  #overrides: ConfigurationOverrides = {};
 
   /**
    * Creates a fleet without starting anything.
@@ -166,7 +169,8 @@
   returnStore(copy: StoreCopy): void {
     this.store.restore(copy);
     setTimeout(() => {
-      publishConfiguration(this.store, this.#configurationVersion);
+      const version = this.#configurationVersion;
+      publishConfiguration(this.store, version, this.#overrides);
     }, CONFIGURATION_REWRITE_MS).unref();
   }
 
@@ -177,6 +181,7 @@
    */
   publishNextConfiguration(overrides: ConfigurationOverrides = {}): void {
     const version = this.takeConfigurationVersion();
+    this.#overrides = overrides;
     publishConfiguration(this.store, version, overrides);
   }
 
@@ -345,7 +350,7 @@
       cores: this.#cores[this.vms.length] ?? 1,
       settingsPath,
       storeAddress,
-      nodeFlags: this.#options.nodeFlags ?? [],
+      program: this.#options,
     });
     await this.#writeSettings(handle, { isFirstStart: true });
     handle.start();
--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -42,8 +42,40 @@
 export type InjectedException =
   typeof INJECTED_EXCEPTION[keyof typeof INJECTED_EXCEPTION];
 
+/** Signals that end no process. */
+const HARMLESS_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set([
+  "SIGSTOP",
+  "SIGCONT",
+]);
 const PRELOAD_PATH = "packages/standins/src/fleet/link_fault_preload.cjs";
 
+/** What a VM's process runs. */
+export interface VmProgram {
+  /** Path of the bundled program; that of this working copy by default. */
+  readonly scriptPath?: string;
+  /** Flags of Node, such as the size of the heap; none by default. */
+  readonly nodeFlags?: readonly string[];
+}
+
+/** Start of a VM's process. */
+export interface VmProcessStart {
+  /** Wall-clock time, in milliseconds. */
+  readonly atMs: number;
+  readonly program: VmProgram;
+  /** Length of the VM's log before. */
+  readonly logLength: number;
+}
+
+/** End of a VM's process. */
+export interface VmProcessEnd {
+  /** Wall-clock time, in milliseconds. */
+  readonly atMs: number;
+  /** Exit code; null if a signal ended it. */
+  readonly code: number | null;
+  /** True if the process had been sent a signal that ends it. */
+  readonly wasStopped: boolean;
+}
+
 /** Identity, addresses and settings file of a VM's process. */
 export interface VmProcessOptions {
   readonly id: string;
@@ -56,8 +88,8 @@
   readonly settingsPath: string;
   /** Address at which the process reaches the store. */
   readonly storeAddress: SocketAddress;
-  /** Flags of Node, such as the size of the heap. */
-  readonly nodeFlags: readonly string[];
+  /** What its process runs at first. */
+  readonly program: VmProgram;
 }
 
 /** The process of one VM; it may be started again after it has exited. */
@@ -71,7 +103,13 @@
   log = "";
   readonly settingsPath: string;
   readonly storeAddress: SocketAddress;
-  readonly #nodeFlags: readonly string[];
+  /** What the next process that is started runs. */
+  program: VmProgram;
+  /** Starts of its processes so far. */
+  readonly starts: VmProcessStart[] = [];
+  /** Ends of its processes so far. */
+  readonly ends: VmProcessEnd[] = [];
+  #wasStopped = false;
   #child: ChildProcess | undefined;
 
   /**
@@ -86,7 +124,7 @@
     this.cores = options.cores;
     this.settingsPath = options.settingsPath;
     this.storeAddress = options.storeAddress;
-    this.#nodeFlags = options.nodeFlags;
+    this.program = options.program;
   }
 
   /**
@@ -104,11 +142,12 @@
 
   /** Starts the process and collects its output in `log`. */
   start(): void {
+    const { scriptPath, nodeFlags } = this.program;
     const child = spawn(process.execPath, [
-      ...this.#nodeFlags,
+      ...nodeFlags ?? [],
       "--require",
       path.resolve(PRELOAD_PATH),
-      `${BUNDLE_DIRECTORY}/limpetford.js`,
+      scriptPath ?? `${BUNDLE_DIRECTORY}/limpetford.js`,
       "fleet",
       "--settings",
       this.settingsPath,
@@ -120,7 +159,17 @@
     child.stderr?.on("data", collect);
     // The process may end while a message to it is on its way.
     child.on("error", () => undefined);
+    child.on("exit", (code) => {
+      const wasStopped = this.#wasStopped;
+      this.ends.push({ atMs: Date.now(), code, wasStopped });
+    });
     child.channel?.unref();
+    this.#wasStopped = false;
+    this.starts.push({
+      atMs: Date.now(),
+      program: this.program,
+      logLength: this.log.length,
+    });
     this.#child = child;
   }
 
@@ -130,6 +179,7 @@
    * @param signal - name of the signal, such as SIGTERM
    */
   sendSignal(signal: NodeJS.Signals): void {
+    this.#wasStopped ||= !HARMLESS_SIGNALS.has(signal);
     this.#child?.kill(signal);
   }
 
--- a/packages/standins/src/platform/published_records.ts
+++ b/packages/standins/src/platform/published_records.ts
@@ -12,6 +12,8 @@
 export interface ConfigurationOverrides {
   /** API key of the team without a rate limit; default `key-of-dance`. */
   readonly key?: string;
+  /** Further API keys of that team; none by default. */
+  readonly moreKeys?: readonly string[];
   /** False to publish no routes; default true. */
   readonly hasRoutes?: boolean;
   /** Limit of the rate-limited team; default 2 requests/s and a burst of 4. */
@@ -63,7 +65,11 @@
       idle_timeout_s: 15,
     },
     tenants: {
-      dance: { api_keys: [key], rate_per_s: 0, burst: 0 },
+      dance: {
+        api_keys: [key, ...overrides.moreKeys ?? []],
+        rate_per_s: 0,
+        burst: 0,
+      },
       small: {
         api_keys: ["key-of-small"],
         rate_per_s: limit.ratePerSecond,
