feat: upgrades check limits, keys, leaving servers, quarantine and use of servers

Over the whole run: a team's rate in every window of 5 s, the limit a server names in every window of 4 s (the users' rules, as in power_loss_test and server_limit_test), and no good server without a request in the last 3 s of each replacement.

Seen while writing: a server announced as ready again under the same start stays left out, in all builds. That is meant (what is known of a start stands), so the harness announces a new start.

--- a/packages/standins/src/process_soak/soak_callers.ts
+++ b/packages/standins/src/process_soak/soak_callers.ts
@@ -48,6 +48,12 @@
   readonly hasGivenUp: boolean;
 }
 
+interface Sending {
+  readonly target: string;
+  readonly key: string;
+  readonly findVm: () => Promise<VmProcessHandle | undefined>;
+}
+
 /** Sends requests to the VMs that directories name, and records their ends. */
 export class SoakCallers {
   readonly sent: ObservedRequest[] = [];
@@ -116,48 +122,31 @@
    */
   async sendRequest(target = this.#chooseTarget()): Promise<boolean> {
     const zone = ZONES[this.#options.random.pickIndex(ZONES.length)] ?? "";
-    const isIdempotent = target.startsWith("/read/");
-    const index = this.sent.length;
-    const request: ObservedRequest = {
-      id: `soak-${index}`,
+    const { response } = await this.#sendOne({
       target,
-      isIdempotent,
-      isCrashing: target === this.#options.crashingTarget,
-      response: undefined,
-      responseRequestId: undefined,
-      sentAtMs: Date.now(),
-      endedAtMs: undefined,
-      vm: undefined,
-      hasGivenUp: false,
-    };
-    this.sent.push(request);
-    const vm = await this.#findVm(zone);
-    const sentAtMs = Date.now();
-    const response = vm && await this.#options.fleet.send(vm, {
-      path: request.target,
-      method: isIdempotent ? "GET" : "POST",
       key: isOfLimitedTeam(target) ? KEY_OF_LIMITED_TEAM : KEY,
-      id: request.id,
-      timeLeftMs: TIME_LEFT_MS,
-      headers: { [VM_HEADER]: vm.id },
-      abortAfterMs: CALLER_TIMEOUT_MS,
-      ...isIdempotent ? {} : { body: "deposit" },
+      findVm: () => this.#findVm(zone),
     });
-    const responseRequestId = response?.headers[PROTOCOL_HEADER.requestId];
-    this.sent[index] = {
-      ...request,
-      response,
-      responseRequestId: typeof responseRequestId === "string"
-        ? responseRequestId
-        : undefined,
-      sentAtMs,
-      endedAtMs: Date.now(),
-      vm: vm?.id,
-      hasGivenUp: Date.now() - sentAtMs >= CALLER_TIMEOUT_MS,
-    };
     return response?.status === STATUS_OK;
   }
 
+  /**
+   * Sends one request to a VM, whatever directories say.
+   *
+   * @param vm - VM
+   * @param target - target of the request
+   * @param key - API key; that of the load by default
+   * @returns the request with its end
+   */
+  async sendTo(
+    vm: VmProcessHandle,
+    target: string,
+    key: string = KEY,
+  ): Promise<ObservedRequest> {
+    const findVm = (): Promise<VmProcessHandle> => Promise.resolve(vm);
+    return await this.#sendOne({ target, key, findVm });
+  }
+
   /**
    * Lists the runs of the request that crashes servers.
    *
@@ -205,6 +194,51 @@
     return true;
   }
 
+  async #sendOne({ target, key, findVm }: Sending): Promise<ObservedRequest> {
+    const isIdempotent = target.startsWith("/read/");
+    const index = this.sent.length;
+    const request: ObservedRequest = {
+      id: `soak-${index}`,
+      target,
+      isIdempotent,
+      isCrashing: target === this.#options.crashingTarget,
+      response: undefined,
+      responseRequestId: undefined,
+      sentAtMs: Date.now(),
+      endedAtMs: undefined,
+      vm: undefined,
+      hasGivenUp: false,
+    };
+    this.sent.push(request);
+    const vm = await findVm();
+    const sentAtMs = Date.now();
+    const response = vm && await this.#options.fleet.send(vm, {
+      path: target,
+      method: isIdempotent ? "GET" : "POST",
+      key,
+      id: request.id,
+      timeLeftMs: TIME_LEFT_MS,
+      headers: { [VM_HEADER]: vm.id },
+      abortAfterMs: CALLER_TIMEOUT_MS,
+      ...isIdempotent ? {} : { body: "deposit" },
+    });
+    const endedAtMs = Date.now();
+    const responseRequestId = response?.headers[PROTOCOL_HEADER.requestId];
+    const ended = {
+      ...request,
+      response,
+      responseRequestId: typeof responseRequestId === "string"
+        ? responseRequestId
+        : undefined,
+      sentAtMs,
+      endedAtMs,
+      vm: vm?.id,
+      hasGivenUp: endedAtMs - sentAtMs >= CALLER_TIMEOUT_MS,
+    };
+    this.sent[index] = ended;
+    return ended;
+  }
+
   async #sendRepeatedly(
     forMs: number,
     intervalMs: number,
--- a/packages/standins/src/upgrade/upgrade_main.ts
+++ b/packages/standins/src/upgrade/upgrade_main.ts
@@ -6,11 +6,16 @@
 
 import { Cli, Command, Option, UsageError } from "clipanion";
 
+import {
+  isOfLimitedTeam,
+  type ObservedRequest,
+} from "../process_soak/soak_callers.ts";
 import {
   BuildError,
   prepareBuild,
   prepareWorkingCopy,
 } from "./build_folder.ts";
+import { PROBE_TARGET } from "./mixed_phase.ts";
 import { renderUpgradePage } from "./upgrade_page.ts";
 import { type UpgradeResult, UpgradeRun } from "./upgrade_run.ts";
 
@@ -44,16 +49,20 @@
       }),
     );
     writeLogs(`${this.report}.logs`, result);
-    const { sent, violations, startedAtMs, endedAtMs } = result;
-    const served = sent.filter(({ response }) =>
+    const { violations, startedAtMs, endedAtMs } = result;
+    const usual = listUsual(result.sent);
+    const served = usual.filter(({ response }) =>
       response?.status === STATUS_OK
     );
+    const unanswered = usual.filter(({ response }) =>
+      (response?.status ?? 0) === 0
+    );
     const seconds = Math.round((endedAtMs - startedAtMs) / 1_000);
     this.context.stdout.write(
       [
         `${from.name} to ${to.name}${this.isBack ? " and back" : ""}, seed ` +
-        `${seed}, ${seconds} s: ${served.length} of ${sent.length} served, ` +
-        `${violations.length} violations`,
+        `${seed}, ${seconds} s: ${served.length} of ${usual.length} served, ` +
+        `${unanswered.length} unanswered, ${violations.length} violations`,
         ...violations,
         this.report,
         "",
@@ -75,6 +84,15 @@
   }
 }
 
+// Requests that every VM should serve.
+function listUsual(
+  sent: readonly ObservedRequest[],
+): readonly ObservedRequest[] {
+  return sent.filter(({ target, isCrashing }) =>
+    !isCrashing && !isOfLimitedTeam(target) && target !== PROBE_TARGET
+  );
+}
+
 function findBuild(commit: string): ReturnType<typeof prepareBuild> {
   try {
     return prepareBuild(commit);
--- a/packages/standins/src/upgrade/upgrade_run.ts
+++ b/packages/standins/src/upgrade/upgrade_run.ts
@@ -4,15 +4,23 @@
 
 import { FleetProcesses } from "../fleet/fleet_processes.ts";
 import type { VmProcessHandle } from "../fleet/vm_process_handle.ts";
+import type { ConfigurationOverrides } from "../platform/published_records.ts";
 import { FaultInjector } from "../process_soak/fault_injector.ts";
 import {
+  isOfLimitedTeam,
   type ObservedRequest,
   SoakCallers,
 } from "../process_soak/soak_callers.ts";
-import { findViolations } from "../process_soak/soak_checks.ts";
+import {
+  findLateRuns,
+  findLimitExcess,
+  findViolations,
+} from "../process_soak/soak_checks.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import type { UpgradeBuild } from "./build_folder.ts";
 import { generateSeries, sortRandomly } from "./fault_series.ts";
+import { findTeamExcess, findUnusedServers } from "./fleet_checks.ts";
+import { MixedPhase } from "./mixed_phase.ts";
 import {
   type Disturbance,
   findLostRequests,
@@ -25,6 +33,12 @@
 const ZONES = [3, 3] as const;
 const SERVER_COUNT = 8;
 const PROCESSING_MS = 20;
+const CRASH_DELAY_MS = 40;
+const CRASH_DOWN_MS = 1_200;
+/** Limit of the team that sends too much. */
+const TEAM_LIMIT = { ratePerSecond: 10, burst: 10 };
+/** Rate that the first server names, less than it would get. */
+const NAMED_LIMIT = 1;
 const WARM_UP_MS = 2_000;
 const SETTLE_MS = 3_000;
 const MAX_RECOVERY_MS = 15_000;
@@ -80,6 +94,9 @@
   readonly #disturbances: Disturbance[] = [];
   readonly #events: UpgradeEvent[] = [];
   readonly #violations: string[] = [];
+  /** Number of configurations that have replaced the first one. */
+  #round = 0;
+  #crashingSinceMs: number | undefined;
 
   /**
    * Creates a run without starting anything.
@@ -109,19 +126,34 @@
   async run(): Promise<UpgradeResult> {
     const { from, to, isBack, seed } = this.#options;
     const startedAtMs = Date.now();
+    let loadedAtMs = startedAtMs;
     try {
       await this.#fleet.start({ servers: SERVER_COUNT, zones: ZONES });
       for (const server of this.#fleet.servers) {
         server.processingMs = PROCESSING_MS;
+        server.crashBehavior = {
+          isCrashing: ({ target }) => target === CRASHING_TARGET,
+          delayMs: CRASH_DELAY_MS,
+          downMs: CRASH_DOWN_MS,
+        };
+      }
+      const [limited] = this.#fleet.servers;
+      if (limited !== undefined) {
+        limited.chooseNamedLimit = (): string => String(NAMED_LIMIT);
       }
-      const load = this.#callers.sendRequests(LOAD_MS);
+      this.#fleet.publishNextConfiguration(this.#buildConfiguration());
+      const load: Promise<void>[] = [
+        this.#callers.sendRequests(LOAD_MS),
+        this.#callers.sendLimitedRequests(LOAD_MS),
+      ];
       await waitMs(WARM_UP_MS);
-      await this.#updateFleet(to);
+      loadedAtMs = Date.now();
+      await this.#updateFleet(to, load);
       if (isBack) {
-        await this.#updateFleet(from);
+        await this.#updateFleet(from, load);
       }
       this.#callers.stop();
-      await load;
+      await Promise.all(load);
     } finally {
       this.#callers.stop();
       await this.#fleet.stop();
@@ -142,6 +174,22 @@
         ...this.#violations,
         ...this.#faultInjector.violations,
         ...findViolations({ sent, runs }),
+        ...findTeamExcess({
+          ...TEAM_LIMIT,
+          ranAtMs: runs.filter(({ target }) => isOfLimitedTeam(target))
+            .map(({ atMs }) => atMs),
+        }),
+        ...findLimitExcess({
+          limit: NAMED_LIMIT,
+          receivedAtMs: this.#fleet.servers[0]?.received.map(
+            ({ receivedAtMs }) => receivedAtMs,
+          ) ?? [],
+          faultsEndedAtMs: loadedAtMs,
+        }),
+        ...findLateRuns({
+          ranAtMs: this.#callers.listCrashingRuns(),
+          faultsEndedAtMs: this.#crashingSinceMs ?? Infinity,
+        }),
         ...findLostRequests({ sent, runs, disturbances }),
         ...findOwnEnds(lives),
         ...findMalformedLines(lives),
@@ -149,7 +197,18 @@
     };
   }
 
-  async #updateFleet(build: UpgradeBuild): Promise<void> {
+  #buildConfiguration(): ConfigurationOverrides {
+    return {
+      limit: TEAM_LIMIT,
+      moreKeys: [`key-of-round-${this.#round}`],
+    };
+  }
+
+  // Adds the deadly request to the load when both builds run.
+  async #updateFleet(
+    build: UpgradeBuild,
+    load: Promise<void>[],
+  ): Promise<void> {
     this.#recordEvent(`to ${build.name}`);
     const order = sortRandomly(this.#random, this.#fleet.vms.length);
     const replace = async (from: number, to: number): Promise<void> => {
@@ -163,9 +222,46 @@
       replace(BEFORE_FAULTS, UNTIL_FAULTS_END),
     ]);
     await this.#checkRecovery("the faults");
+    if (this.#crashingSinceMs === undefined) {
+      this.#crashingSinceMs = Date.now();
+      load.push(this.#callers.sendCrashingRequests(LOAD_MS));
+    }
+    await this.#runMixedPhase();
     await replace(UNTIL_FAULTS_END, order.length);
     await this.#checkRecovery("the replacement");
+    await this.#checkUse();
+  }
+
+  async #runMixedPhase(): Promise<void> {
+    this.#recordEvent("a key is withdrawn, two servers leave");
+    const withdrawnKey = `key-of-round-${this.#round}`;
+    this.#round += 1;
+    const { from, to } = this.#options;
+    const violations = await new MixedPhase({
+      fleet: this.#fleet,
+      callers: this.#callers,
+      crashingTarget: CRASHING_TARGET,
+      processingMs: PROCESSING_MS,
+      findBuildName: ({ program }) =>
+        [from, to].find((build) => build.program === program)?.name ?? "",
+      configuration: this.#buildConfiguration(),
+      withdrawnKey,
+      newKey: `key-of-round-${this.#round}`,
+    }).run();
+    this.#violations.push(...violations);
+    this.#recordEvent("both servers are back");
+  }
+
+  async #checkUse(): Promise<void> {
+    const fromMs = Date.now();
     await waitMs(SETTLE_MS);
+    const [, ...good] = this.#fleet.servers;
+    this.#violations.push(...findUnusedServers({
+      servers: good.map(({ id }) => id),
+      runs: this.#callers.listRuns(),
+      fromMs,
+      toMs: Date.now(),
+    }));
   }
 
   async #updateVm(
