fix: a build of another commit can't clear the packages of the repository

Change: a build's node_modules is a folder of links, which is newer than its lock file and may be cleared.

Also: messages on leaving servers name the build of the VM; builds are told apart by their program's path, since the fleet's first program is a copy.

--- a/packages/standins/src/upgrade/build_folder.ts
+++ b/packages/standins/src/upgrade/build_folder.ts
@@ -198,7 +198,10 @@
   return lines;
 }
 
-// Without the link the deploy file installs the packages itself.
+// Without the links the deploy file installs the packages itself. They are links
+// in a folder of its own: should it install all the same, which begins by clearing
+// the folder, the repository's packages stay. The folder is newer than the lock
+// file, which is what deploy files ask for.
 function prepareModules(folder: string, repository: string): void {
   const modules = path.join(repository, MODULES_FOLDER);
   const [own, present] = [folder, repository].map((place) => {
@@ -208,6 +211,10 @@
       : undefined;
   });
   if (own !== undefined && own === present && fs.existsSync(modules)) {
-    fs.symlinkSync(modules, path.join(folder, MODULES_FOLDER));
+    const linked = path.join(folder, MODULES_FOLDER);
+    fs.mkdirSync(linked);
+    for (const name of fs.readdirSync(modules)) {
+      fs.symlinkSync(path.join(modules, name), path.join(linked, name));
+    }
   }
 }
--- a/packages/standins/src/upgrade/build_folder_test.ts
+++ b/packages/standins/src/upgrade/build_folder_test.ts
@@ -58,6 +58,27 @@
     );
   });
 
+  // Guards against what happened once: npm ci cleared the repository's packages.
+  it("lends its packages so that a build can't clear them", () => {
+    const installed = path.join(repository, "node_modules/zod/index.js");
+    fs.mkdirSync(path.dirname(installed), { recursive: true });
+    fs.writeFileSync(installed, "");
+    fs.writeFileSync(path.join(repository, ".gitignore"), "node_modules\n");
+    fs.writeFileSync(
+      path.join(repository, "package-lock.json"),
+      JSON.stringify({ packages: { "node_modules/zod": { version: "4" } } }),
+    );
+    const steps = [
+      "[ node_modules -nt package-lock.json ]",
+      "[ -f node_modules/zod/index.js ]",
+      "rm -r node_modules/*",
+      GOOD_BUILD,
+    ];
+    addCommit(steps.join(" && "));
+    prepareBuild("HEAD", { repository });
+    expect(fs.existsSync(installed)).toBe(true);
+  });
+
   it("builds by the commit's own deploy file, and once only", () => {
     addCommit(GOOD_BUILD);
     addCommit("false");
--- a/packages/standins/src/upgrade/mixed_phase.ts
+++ b/packages/standins/src/upgrade/mixed_phase.ts
@@ -77,8 +77,8 @@
       this.#probeUntil(startedAtMs + PHASE_MS, this.#options.newKey),
     ]);
     const leaving = {
-      bySayingSo: listReceived(saying, startedAtMs),
-      byAnnouncement: listReceived(announced, startedAtMs),
+      bySayingSo: this.#listReceived(saying, startedAtMs),
+      byAnnouncement: this.#listReceived(announced, startedAtMs),
     };
     saying.isSayingLeaving = false;
     fleet.publishLeaving(announced, false);
@@ -120,13 +120,21 @@
       };
     }));
   }
-}
 
-function listReceived(
-  { received }: ServerStandin,
-  fromMs: number,
-): readonly ReceivedFromVm[] {
-  return received.filter(({ receivedAtMs }) => receivedAtMs > fromMs).map((
-    { headers, receivedAtMs },
-  ) => ({ vm: String(headers[VM_HEADER]), atMs: receivedAtMs }));
+  // Names VMs with the builds that they run in this phase.
+  #listReceived(
+    { received }: ServerStandin,
+    fromMs: number,
+  ): readonly ReceivedFromVm[] {
+    const { fleet, findBuildName } = this.#options;
+    const names = new Map(
+      fleet.vms.map((vm) => [vm.id, `${vm.id} (${findBuildName(vm)})`]),
+    );
+    return received.filter(({ receivedAtMs }) => receivedAtMs > fromMs).map((
+      { headers, receivedAtMs },
+    ) => ({
+      vm: names.get(String(headers[VM_HEADER])) ?? "",
+      atMs: receivedAtMs,
+    }));
+  }
 }
--- a/packages/standins/src/upgrade/upgrade_run.ts
+++ b/packages/standins/src/upgrade/upgrade_run.ts
@@ -28,7 +28,7 @@
   findOwnEnds,
   type VmLife,
 } from "./upgrade_checks.ts";
-import { listLives } from "./version_timeline.ts";
+import { findBuildName, listLives } from "./version_timeline.ts";
 
 const ZONES = [3, 3] as const;
 const SERVER_COUNT = 8;
@@ -242,8 +242,7 @@
       callers: this.#callers,
       crashingTarget: CRASHING_TARGET,
       processingMs: PROCESSING_MS,
-      findBuildName: ({ program }) =>
-        [from, to].find((build) => build.program === program)?.name ?? "",
+      findBuildName: ({ program }) => findBuildName([from, to], program),
       configuration: this.#buildConfiguration(),
       withdrawnKey,
       newKey: `key-of-round-${this.#round}`,
--- a/packages/standins/src/upgrade/version_timeline.ts
+++ b/packages/standins/src/upgrade/version_timeline.ts
@@ -1,6 +1,6 @@
 /** Which build each VM ran when. */
 
-import type { VmProcessHandle } from "../fleet/vm_process_handle.ts";
+import type { VmProcessHandle, VmProgram } from "../fleet/vm_process_handle.ts";
 import type { UpgradeBuild } from "./build_folder.ts";
 import type { VmLife } from "./upgrade_checks.ts";
 
@@ -18,12 +18,9 @@
   return vms.flatMap(({ id, log, starts, ends }) =>
     starts.map((start, index) => {
       const end = ends[index];
-      const build = builds.find(({ program }) =>
-        program.scriptPath === start.program.scriptPath
-      );
       return {
         vm: id,
-        build: build?.name ?? "",
+        build: findBuildName(builds, start.program),
         fromMs: start.atMs,
         toMs: end?.atMs,
         exitCode: end?.code,
@@ -33,3 +30,24 @@
     })
   );
 }
+
+/**
+ * Finds the name of the build that a program belongs to.
+ *
+ * @param builds - builds of a run
+ * @param program - program of a VM
+ * @returns its name
+ * @throws Error if it is none of these builds
+ */
+export function findBuildName(
+  builds: readonly UpgradeBuild[],
+  program: VmProgram,
+): string {
+  const found = builds.find((build) =>
+    build.program.scriptPath === program.scriptPath
+  );
+  if (found === undefined) {
+    throw new Error(`no build has the program ${String(program.scriptPath)}`);
+  }
+  return found.name;
+}
--- a/packages/standins/src/upgrade/version_timeline_test.ts
+++ b/packages/standins/src/upgrade/version_timeline_test.ts
@@ -1,9 +1,18 @@
 import { VmProcessHandle } from "../fleet/vm_process_handle.ts";
-import { listLives } from "./version_timeline.ts";
+import { findBuildName, listLives } from "./version_timeline.ts";
 
 const OLD = { name: "old", program: { scriptPath: "old.js" } };
 const NEW = { name: "new", program: { scriptPath: "new.js" } };
 
+// The fleet's first program is a copy with other settings beside it.
+it("names the build of an equal program", () => {
+  expect(findBuildName([OLD, NEW], { ...NEW.program, nodeFlags: [] }))
+    .toBe("new");
+  expect(() => findBuildName([OLD], NEW.program)).toThrow(
+    "no build has the program new.js",
+  );
+});
+
 it("tells the processes of a VM apart by build and log", () => {
   const vm = new VmProcessHandle({
     id: "vm-1",
