--- a/packages/standins/src/upgrade/upgrade_run.ts
+++ b/packages/standins/src/upgrade/upgrade_run.ts
@@ -49,6 +49,8 @@
 const UNTIL_FAULTS_END = 3;
 /** Time around a fault in which requests may suffer from it. */
 const DISTURBANCE_MARGIN_MS = 500;
+/** Added to the seed for the callers' own random numbers. */
+const CALLERS_SEED = 1_000_000;
 /** Target of the request that crashes servers. */
 const CRASHING_TARGET = "/read/crash";
 
@@ -113,7 +115,8 @@
     this.#faultInjector = new FaultInjector(this.#fleet);
     this.#callers = new SoakCallers({
       fleet: this.#fleet,
-      random: this.#random,
+      // How much callers draw depends on time; faults must not depend on it.
+      random: new SeededRandomSource(options.seed + CALLERS_SEED),
       crashingTarget: CRASHING_TARGET,
     });
   }
