revert: bytes that name no request do not take a server out as leaving

The users' page says that a server which leaves says so in all its answers, and counts requests that reach it after a VM has passed on "an answer with Server-Leaving" (DRAIN): any answer. With an unsigned failure without an identifier, which is passed on from a new connection, was not heeded, so the next request could break the rule. What traced stands: in the fuzz of odd answers two requests gave three `server-leaving` lines, by bytes with neither header, and the servers stayed out until they started again (no-server for 15 s).

--- a/packages/platform/src/store/http_headers.ts
+++ b/packages/platform/src/store/http_headers.ts
@@ -132,20 +132,14 @@
   status: number,
   headers: HeaderTable,
 ): ServerResponseHeaders {
-  const requestId = findHeader(headers, WIRE_HEADER.requestId);
-  const isSigned = headers[WIRE_HEADER.signature] !== undefined;
-  const notice = status === STATUS_MISDIRECTED
-    ? undefined
-    : parseNotice(status, headers);
-  // Servers echo the request's identifier. Other bytes must not take a server out
-  // until it starts again.
-  const mayLeave = requestId !== undefined || isSigned;
   return {
-    requestId,
+    requestId: findHeader(headers, WIRE_HEADER.requestId),
     isNotRun: status === STATUS_MISDIRECTED ||
       headers[WIRE_HEADER.notRun] !== undefined,
-    isSigned,
-    notice: notice && { ...notice, isLeaving: notice.isLeaving && mayLeave },
+    isSigned: headers[WIRE_HEADER.signature] !== undefined,
+    notice: status === STATUS_MISDIRECTED
+      ? undefined
+      : parseNotice(status, headers),
   };
 }
 
