test: the memory of collected responses is looked at when all have begun

The case waited until the VM held more than 400 x 250,000 bytes and then asked whether 400 responses had begun. Connections and heads count as well (about 20 kB a request), so that 370 responses reach the mark.

The case now waits until all have begun, then for the bytes, and expects exactly 400 as before; the bytes are asked of all 400, which is stricter.

--- a/packages/standins/src/fleet/collected_memory_test.ts
+++ b/packages/standins/src/fleet/collected_memory_test.ts
@@ -58,6 +58,8 @@
     for (let index = 0; index < CALLERS; index++) {
       sockets.push(openCaller(vm, index));
     }
+    // Connections and heads count as well, so fewer responses may hold as much.
+    await fleet.waitUntil(() => begun >= CALLERS);
     await fleet.waitUntil(async () =>
       (await readMetric(vm, "held_bytes") ?? 0) > CALLERS * COLLECTED_BYTES
     );
