refactor: tests with real processes share their bundle

No behaviour changed: one function bundles (fleet/bundle.ts, which now holds the output directory), getVm finds the VM. What the tests expect is untouched.

--- a/packages/standins/src/fleet/broken_head_test.ts
+++ b/packages/standins/src/fleet/broken_head_test.ts
@@ -1,12 +1,11 @@
-import { execFileSync } from "node:child_process";
-
 import type { CallerResponse } from "../platform/caller_client.ts";
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
 import type { ReceivedRequest } from "../platform/server_standin.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const BODY = "seventeen letters";
@@ -56,7 +55,7 @@
   let fleet: FleetProcesses;
   let vm: VmProcessHandle;
   beforeAll(async () => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
     fleet = new FleetProcesses({ logLevel: "error" });
     await fleet.start({ servers: 2, zones: [1] });
     vm = getVm(fleet);
--- a/packages/standins/src/fleet/build_test.ts
+++ b/packages/standins/src/fleet/build_test.ts
@@ -4,10 +4,10 @@
 
 import { request } from "undici";
 
+import { buildBundle, BUNDLE_DIRECTORY } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { VM_PORTS } from "./vm_ports.ts";
-import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
 const COPY = path.resolve(`${BUNDLE_DIRECTORY}-copy`);
 
@@ -32,7 +32,7 @@
   });
 
   it("stands in the start line and the metrics of a VM", async () => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
     const fleet = new FleetProcesses();
     try {
       await fleet.start({ servers: 1, zones: [1] });
--- a/packages/standins/src/fleet/collected_memory_test.ts
+++ b/packages/standins/src/fleet/collected_memory_test.ts
@@ -1,13 +1,13 @@
-import { execFileSync } from "node:child_process";
 import * as net from "node:net";
 
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
 import { VM_PORTS } from "./vm_ports.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const CALLERS = 400;
@@ -25,7 +25,7 @@
   let vm: VmProcessHandle;
   const sockets: net.Socket[] = [];
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses({ logLevel: "info" });
--- a/packages/standins/src/fleet/crashing_request_test.ts
+++ b/packages/standins/src/fleet/crashing_request_test.ts
@@ -1,14 +1,12 @@
-import { execFileSync } from "node:child_process";
-
 import type {
   CallerRequest,
   CallerResponse,
 } from "../platform/caller_client.ts";
 import type { ReceivedRequest } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import {
-  BUNDLE_DIRECTORY,
   SERVER_LINK_FAULT,
   type VmProcessHandle,
 } from "./vm_process_handle.ts";
@@ -74,7 +72,7 @@
 describe("a request that crashes servers", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/cut_response_test.ts
+++ b/packages/standins/src/fleet/cut_response_test.ts
@@ -1,9 +1,10 @@
-import { execFileSync } from "node:child_process";
 import * as net from "node:net";
 
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
+import { getVm } from "./fleet_lookup.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
 import {
   buildUnsizedResponse,
@@ -13,7 +14,6 @@
   type ReceivedResponse,
 } from "./response_fetch.ts";
 import {
-  BUNDLE_DIRECTORY,
   SERVER_LINK_FAULT,
   type VmProcessHandle,
 } from "./vm_process_handle.ts";
@@ -52,20 +52,14 @@
   let fleet: FleetProcesses;
   let vm: VmProcessHandle;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
     await fleet.start({ servers: 3, zones: [1, 1] });
-    const [first] = fleet.vms;
-    if (first === undefined) {
-      throw new Error("the fleet has no VM");
-    }
-    vm = first;
+    vm = getVm(fleet);
     // A VM has its share of the retry budget as soon as callers are sent to it.
-    await fleet.waitUntil(async () =>
-      await fleet.findLeader(first.zone) === first
-    );
+    await fleet.waitUntil(async () => await fleet.findLeader(vm.zone) === vm);
   });
   afterEach(async () => {
     await fleet.stop();
--- a/packages/standins/src/fleet/departed_callers_test.ts
+++ b/packages/standins/src/fleet/departed_callers_test.ts
@@ -1,4 +1,3 @@
-import { execFileSync } from "node:child_process";
 import * as net from "node:net";
 
 import type {
@@ -7,10 +6,10 @@
 } from "../platform/caller_client.ts";
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { waitForLeader } from "./fleet_lookup.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
 import {
-  BUNDLE_DIRECTORY,
   SERVER_LINK_FAULT,
   type VmProcessHandle,
 } from "./vm_process_handle.ts";
@@ -42,7 +41,7 @@
 describe("requests of callers that have left", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/ended_server_test.ts
+++ b/packages/standins/src/fleet/ended_server_test.ts
@@ -1,9 +1,10 @@
-import { execFileSync } from "node:child_process";
 import * as net from "node:net";
 
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
+import { getVm } from "./fleet_lookup.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
 import {
   buildUnsizedResponse,
@@ -11,7 +12,7 @@
   fetchResponse,
   type ReceivedResponse,
 } from "./response_fetch.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const CALLERS = 10;
 const PART = "x".repeat(9_000);
@@ -24,16 +25,12 @@
   let fleet: FleetProcesses;
   let vm: VmProcessHandle;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
     await fleet.start({ servers: 3, zones: [1, 1] });
-    const [first] = fleet.vms;
-    if (first === undefined) {
-      throw new Error("the fleet has no VM");
-    }
-    vm = first;
+    vm = getVm(fleet);
   });
   afterEach(async () => {
     await fleet.stop();
--- a/packages/standins/src/fleet/fleet_path_test.ts
+++ b/packages/standins/src/fleet/fleet_path_test.ts
@@ -1,11 +1,10 @@
-import { execFileSync } from "node:child_process";
-
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { publishConfiguration } from "../platform/published_records.ts";
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
 import { STORE_FAULT } from "../platform/store_standin.ts";
+import { buildBundle } from "./bundle.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 
@@ -15,7 +14,7 @@
   let fleet: FleetProcesses;
   let leader: VmProcessHandle;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/forwarded_requests_test.ts
+++ b/packages/standins/src/fleet/forwarded_requests_test.ts
@@ -1,5 +1,3 @@
-import { execFileSync } from "node:child_process";
-
 import type {
   CallerRequest,
   CallerResponse,
@@ -7,9 +5,9 @@
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type { ReceivedRequest } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import {
-  BUNDLE_DIRECTORY,
   SERVER_LINK_FAULT,
   type VmProcessHandle,
 } from "./vm_process_handle.ts";
@@ -31,7 +29,7 @@
   let fleet: FleetProcesses;
   let cutVms: readonly VmProcessHandle[];
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/held_memory_test.ts
+++ b/packages/standins/src/fleet/held_memory_test.ts
@@ -1,14 +1,14 @@
-import { execFileSync } from "node:child_process";
 import { readFileSync } from "node:fs";
 
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
 import { type HeldCaller, openHeldCallers } from "./held_callers.ts";
 import { VM_PORTS } from "./vm_ports.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const STATUS_OK = 200;
@@ -42,7 +42,7 @@
   let fleet: FleetProcesses;
   let callers: readonly HeldCaller[] = [];
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses({
--- a/packages/standins/src/fleet/huge_timeout_test.ts
+++ b/packages/standins/src/fleet/huge_timeout_test.ts
@@ -1,11 +1,9 @@
-import { execFileSync } from "node:child_process";
-
 import { buildTimedConfiguration } from "../platform/odd_input_templates.ts";
 import { PROTOCOL_TOPIC } from "../platform/protocol_names.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 /** Time after an answer in which its connection is prepared for the next request. */
@@ -19,7 +17,7 @@
 describe("a huge time in a configuration", () => {
   let fleet: FleetProcesses;
   beforeAll(async () => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
     fleet = new FleetProcesses({ logLevel: "error" });
     await fleet.start({ servers: 2, zones: [1] });
   });
--- a/packages/standins/src/fleet/invalid_status_test.ts
+++ b/packages/standins/src/fleet/invalid_status_test.ts
@@ -1,11 +1,10 @@
-import { execFileSync } from "node:child_process";
-
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const STATUS_GATEWAY_TIMEOUT = 504;
@@ -31,7 +30,7 @@
   let fleet: FleetProcesses;
   let vm: VmProcessHandle;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/large_leader_test.ts
+++ b/packages/standins/src/fleet/large_leader_test.ts
@@ -1,10 +1,9 @@
-import { execFileSync } from "node:child_process";
 import * as http from "node:http";
 
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const ZONE = "zone-0";
@@ -22,7 +21,7 @@
 describe("the callers of a zone with a large VM", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses({ logLevel: "error" });
--- a/packages/standins/src/fleet/odd_announcement_test.ts
+++ b/packages/standins/src/fleet/odd_announcement_test.ts
@@ -1,5 +1,3 @@
-import { execFileSync } from "node:child_process";
-
 import {
   ODD_KEYS,
   ODD_VALUES,
@@ -7,8 +5,9 @@
 } from "../platform/odd_announcements.ts";
 import { PROTOCOL_TOPIC } from "../platform/protocol_names.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const FIRST_KEY = "key-of-dance";
 const SECOND_KEY = "second-key-of-dance";
@@ -22,7 +21,7 @@
 describe("an odd entry among those of the servers", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/odd_input_test.ts
+++ b/packages/standins/src/fleet/odd_input_test.ts
@@ -1,4 +1,3 @@
-import { execFileSync } from "node:child_process";
 import * as net from "node:net";
 
 import type { SocketAddress } from "@limpetford/domain/vm";
@@ -18,11 +17,12 @@
 } from "../platform/odd_inputs.ts";
 import { PROTOCOL_TOPIC } from "../platform/protocol_names.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { encodeCall, OddPeer } from "./odd_peer.ts";
 import { VM_PORTS } from "./vm_ports.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 // By hand with fresh inputs for longer:
 // ODD_INPUT_SECONDS=120 ODD_INPUT_SEED=$RANDOM npx jest odd_input_test
@@ -65,7 +65,7 @@
 describe("odd input", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses({ logLevel: "error" });
--- a/packages/standins/src/fleet/pipelined_callers_test.ts
+++ b/packages/standins/src/fleet/pipelined_callers_test.ts
@@ -1,12 +1,13 @@
-import { execFileSync } from "node:child_process";
 import * as http from "node:http";
 import * as net from "node:net";
 
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
+import { getVm } from "./fleet_lookup.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
 import { VM_PORTS } from "./vm_ports.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const ROUNDS = 40;
 const PIPELINED = 50;
@@ -33,7 +34,7 @@
 describe("callers that send many requests at once and leave", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   afterEach(async () => {
     await fleet.stop();
@@ -44,10 +45,7 @@
     async (way) => {
       fleet = new FleetProcesses({ logLevel: "info" });
       await fleet.start({ servers: 3, zones: [1] });
-      const [vm] = fleet.vms;
-      if (vm === undefined) {
-        throw new Error("the fleet has no VM");
-      }
+      const vm = getVm(fleet);
       fleet.servers.forEach((server) => {
         server.processingMs = 300;
       });
--- a/packages/standins/src/fleet/planned_stop_test.ts
+++ b/packages/standins/src/fleet/planned_stop_test.ts
@@ -1,13 +1,13 @@
-import { execFileSync } from "node:child_process";
 import * as http from "node:http";
 
 import type { CallerResponse } from "../platform/caller_client.ts";
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { waitForLeader } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { GRACE_PERIOD_SECONDS } from "./vm_bounds.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const STATUS_OK = 200;
@@ -37,7 +37,7 @@
   let vm: VmProcessHandle;
   let ended: EndedRequest[];
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/power_loss_test.ts
+++ b/packages/standins/src/fleet/power_loss_test.ts
@@ -1,9 +1,7 @@
-import { execFileSync } from "node:child_process";
-
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { type LoadTarget, sendMixedLoad } from "./mixed_load.ts";
-import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
 const KEY = "key-of-small";
 const LIMIT = { ratePerSecond: 40, burst: 40 };
@@ -29,7 +27,7 @@
 describe("a team that sends too much over a loss of power everywhere", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/repeated_refusal_test.ts
+++ b/packages/standins/src/fleet/repeated_refusal_test.ts
@@ -1,14 +1,13 @@
-import { execFileSync } from "node:child_process";
-
 import type { CallerResponse } from "../platform/caller_client.ts";
 import {
   REPEATED_REFUSAL,
   type RepeatedRefusal,
 } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const STATUS_OK = 200;
@@ -34,7 +33,7 @@
   let fleet: FleetProcesses;
   let vm: VmProcessHandle;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/request_outcome_log_test.ts
+++ b/packages/standins/src/fleet/request_outcome_log_test.ts
@@ -1,13 +1,12 @@
-import { execFileSync } from "node:child_process";
-
-import { type CallerRequest } from "../platform/caller_client.ts";
+import type { CallerRequest } from "../platform/caller_client.ts";
 import {
   SERVER_BEHAVIOR,
   type ServerBehavior,
 } from "../platform/server_standin.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 /** Well above the requests that the small team's rate limit admits. */
@@ -97,7 +96,7 @@
   let fleet: FleetProcesses;
   let vm: VmProcessHandle;
   beforeAll(async () => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
     fleet = new FleetProcesses();
     await fleet.start({ servers: 3, zones: [1] });
     vm = getVm(fleet);
--- a/packages/standins/src/fleet/retry_bounds_test.ts
+++ b/packages/standins/src/fleet/retry_bounds_test.ts
@@ -1,13 +1,11 @@
 // Guards against retries that pile up while servers fail: more attempts than the
 // route allows, or more repeats of all VMs together than the service's budget.
 
-import { execFileSync } from "node:child_process";
-
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
+import { buildBundle } from "./bundle.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { sendMixedLoad } from "./mixed_load.ts";
-import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const ZONES = [3, 3];
@@ -43,7 +41,7 @@
 describe("retries while servers fail", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/server_limit_test.ts
+++ b/packages/standins/src/fleet/server_limit_test.ts
@@ -1,14 +1,12 @@
-import { execFileSync } from "node:child_process";
-
 import type {
   CallerRequest,
   CallerResponse,
 } from "../platform/caller_client.ts";
 import type { ServerStandin } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { type LoadTarget, sendMixedLoad } from "./mixed_load.ts";
-import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const STATUS_OK = 200;
@@ -41,7 +39,7 @@
 describe("a server that names a rate limit", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/servers_unreachable_test.ts
+++ b/packages/standins/src/fleet/servers_unreachable_test.ts
@@ -1,10 +1,8 @@
-import { execFileSync } from "node:child_process";
-
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { DirectoryLoad, type FirstAttempt } from "./directory_load.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import {
-  BUNDLE_DIRECTORY,
   SERVER_LINK_FAULT,
   type ServerLinkFault,
   type VmProcessHandle,
@@ -92,7 +90,7 @@
 describe("callers of VMs that cannot reach the backend servers", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/stopped_slow_callers_test.ts
+++ b/packages/standins/src/fleet/stopped_slow_callers_test.ts
@@ -1,11 +1,11 @@
-import { execFileSync } from "node:child_process";
 import * as http from "node:http";
 
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const CALLERS = 60;
@@ -61,7 +61,7 @@
   let stopped: VmProcessHandle;
   let other: VmProcessHandle;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/store_copy_test.ts
+++ b/packages/standins/src/fleet/store_copy_test.ts
@@ -1,10 +1,9 @@
-import { execFileSync } from "node:child_process";
-
 import { publishConfiguration } from "../platform/published_records.ts";
 import { STORE_FAULT } from "../platform/store_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const STATUS_OK = 200;
 const STATUS_UNAUTHORIZED = 401;
@@ -27,7 +26,7 @@
 describe("a store that returns from an older copy", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/uncaught_exception_test.ts
+++ b/packages/standins/src/fleet/uncaught_exception_test.ts
@@ -1,12 +1,10 @@
-import { execFileSync } from "node:child_process";
-
 import type { CallerResponse } from "../platform/caller_client.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { waitForLeader } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
 import { GRACE_PERIOD_SECONDS } from "./vm_bounds.ts";
 import {
-  BUNDLE_DIRECTORY,
   INJECTED_EXCEPTION,
   type VmProcessHandle,
 } from "./vm_process_handle.ts";
@@ -26,7 +24,7 @@
   let fleet: FleetProcesses;
   let vm: VmProcessHandle;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses({ logLevel: "info" });
--- a/packages/standins/src/fleet/unproven_refusal_test.ts
+++ b/packages/standins/src/fleet/unproven_refusal_test.ts
@@ -1,11 +1,10 @@
-import { execFileSync } from "node:child_process";
-
 import type { CallerResponse } from "../platform/caller_client.ts";
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 /** Statuses that promise callers that a request did not run and never will. */
@@ -26,7 +25,7 @@
   let fleet: FleetProcesses;
   let vm: VmProcessHandle;
   beforeAll(async () => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
     fleet = new FleetProcesses({ logLevel: "error" });
     await fleet.start({ servers: 2, zones: [1] });
     vm = getVm(fleet);
--- a/packages/standins/src/fleet/unread_answers_test.ts
+++ b/packages/standins/src/fleet/unread_answers_test.ts
@@ -1,9 +1,7 @@
-import { execFileSync } from "node:child_process";
-
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const STATUS_OK = 200;
@@ -18,7 +16,7 @@
 describe("answers that arrived while a VM was held up", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/unread_deadline_test.ts
+++ b/packages/standins/src/fleet/unread_deadline_test.ts
@@ -1,10 +1,8 @@
-import { execFileSync } from "node:child_process";
-
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { getVm, waitForLeader } from "./fleet_lookup.ts";
 import { FleetProcesses } from "./fleet_processes.ts";
-import { BUNDLE_DIRECTORY } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
 const REQUEST_COUNT = 20;
@@ -20,7 +18,7 @@
 describe("time left of requests that lay unread", () => {
   let fleet: FleetProcesses;
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -5,13 +5,7 @@
 
 import type { SocketAddress } from "@limpetford/domain/vm";
 
-/**
- * Output directory of the bundled program, relative to the workspace. Each jest
- * worker has its own, since the bundle must not change while processes start.
- */
-export const BUNDLE_DIRECTORY = `out/bundle-${
-  process.env["JEST_WORKER_ID"] ?? "0"
-}`;
+import { BUNDLE_DIRECTORY } from "./bundle.ts";
 
 /** Faults of the links from one VM to backend servers. */
 export const SERVER_LINK_FAULT = {
--- a/packages/standins/src/measure/logging/logging_command.ts
+++ b/packages/standins/src/measure/logging/logging_command.ts
@@ -1,10 +1,8 @@
 /** The command `measure logging`, which measures the cost of the request log. */
 
-import { execFileSync } from "node:child_process";
-
 import { Command, Option } from "clipanion";
 
-import { BUNDLE_DIRECTORY } from "../../fleet/vm_process_handle.ts";
+import { buildBundle } from "../../fleet/bundle.ts";
 import { measureLoggingCost } from "./logging_cost.ts";
 
 const RATES = [50, 500] as const;
@@ -20,7 +18,7 @@
   readonly seconds = Option.String("--seconds", "15");
 
   override async execute(): Promise<number> {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
     this.#print("requests/s, level, served, CPU ms and log bytes per request");
     for (const requestsPerSecond of RATES) {
       for (const logLevel of LEVELS) {
--- a/packages/standins/src/process_soak/process_soak_main.ts
+++ b/packages/standins/src/process_soak/process_soak_main.ts
@@ -3,11 +3,10 @@
  * `npm run soak:processes -- --seed 1 --runs 50 --seconds 10`.
  */
 
-import { execFileSync } from "node:child_process";
 import { mkdirSync, writeFileSync } from "node:fs";
 import { parseArgs } from "node:util";
 
-import { BUNDLE_DIRECTORY } from "../fleet/vm_process_handle.ts";
+import { buildBundle } from "../fleet/bundle.ts";
 import { ProcessSoak } from "./process_soak.ts";
 
 const LOG_DIRECTORY = "out/soak";
@@ -23,7 +22,7 @@
 const runCount = Number(values.runs);
 const lengthMs = Number(values.seconds) * 1_000;
 
-execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+buildBundle();
 let failed = 0;
 for (let seed = firstSeed; seed < firstSeed + runCount; seed++) {
   const result = await new ProcessSoak({ seed, lengthMs }).run();
--- a/packages/standins/src/process_soak/process_soak_test.ts
+++ b/packages/standins/src/process_soak/process_soak_test.ts
@@ -1,6 +1,4 @@
-import { execFileSync } from "node:child_process";
-
-import { BUNDLE_DIRECTORY } from "../fleet/vm_process_handle.ts";
+import { buildBundle } from "../fleet/bundle.ts";
 import { ProcessSoak } from "./process_soak.ts";
 
 // More seeds: npm run soak:processes -- --seed 1 --runs 50
@@ -11,7 +9,7 @@
 // recovery when processes, links, the store and backend servers fail at random.
 describe("a fleet of processes under random faults", () => {
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
 
   it.each(SEEDS)("violates no invariant, seed %i", async (seed) => {
--- a/packages/standins/src/upgrade/build_folder.ts
+++ b/packages/standins/src/upgrade/build_folder.ts
@@ -6,6 +6,7 @@
 
 import * as z from "zod";
 
+import { buildBundle } from "../fleet/bundle.ts";
 import type { VmProgram } from "../fleet/vm_process_handle.ts";
 
 /** Folder of all builds, which git ignores. */
@@ -74,7 +75,7 @@
  */
 export function prepareWorkingCopy(): UpgradeBuild {
   const folder = `${BUILDS_FOLDER}/working-copy`;
-  execFileSync(process.execPath, ["tools/bundle.js", folder]);
+  buildBundle(folder);
   return {
     name: "working copy",
     program: {
