fix: a VM that stops answers each request of a connection that it has passed on

Callers that send a request before the response to the last one: a VM that got SIGTERM answered the first, said `Connection: close` in it, and closed the connection. The requests behind it had been passed on to servers, and ran, also those that must not be repeated; their callers got nothing (LOST). The same for a request that was sent while a response that says `close` was on its way.

Cause: `CallerExchange` said `close` in each response from SIGTERM on, whatever waited behind it on its connection; Node closes the connection behind that response. Ruled out: the forced stop (the responses were due 0.5 s after SIGTERM) and `closeServer` (at 0.6 of the grace period).

Now only a response with none behind it says so, and a request that is read behind such a response is not passed on.

--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -59,6 +59,8 @@
   readonly #requestIdPrefix: string;
   // Shared by all requests, to avoid allocating closures for each of them.
   readonly #readStopping = (): boolean => this.#isStopping;
+  readonly #isFollowed = (exchange: CallerExchange): boolean =>
+    this.#exchanges.get(exchange.request.socket)?.at(-1) !== exchange;
   readonly #releaseExchange = (exchange: CallerExchange): void => {
     const { socket } = exchange.request;
     const others = (this.#exchanges.get(socket) ?? []).filter((other) =>
@@ -269,7 +271,7 @@
 
   async #drainOnce(lingerMs: number): Promise<void> {
     this.#isStopping = true;
-    await waitMs(lingerMs);
+    await new Promise((resolve) => setTimeout(resolve, lingerMs));
     this.#isClosing = true;
     const closed = closeServer(this.#server, this.#exchanges);
     await this.#pipeline.waitIdle();
@@ -302,7 +304,7 @@
     return server;
   }
 
-  // What is thrown here ends the connection, and nothing else.
+  // What is thrown ends the connection, and nothing else.
   #runFor(socket: Duplex, step: () => void): void {
     try {
       step();
@@ -318,7 +320,13 @@
     forwarding?: ForwardingTerms,
   ): void {
     this.#runFor(request.socket, () => {
-      this.#open(request, response, forwarding);
+      const before = this.#exchanges.get(request.socket)?.at(-1);
+      if (before?.isLastOnConnection === true) {
+        // It crosses the close of its connection, and could not be answered.
+        request.resume();
+      } else {
+        this.#open(request, response, forwarding);
+      }
     });
   }
 
@@ -339,6 +347,7 @@
       random: this.#ports.random,
       dialect: this.#dialect,
       isStopping: this.#readStopping,
+      isFollowed: this.#isFollowed,
       releaseExchange: this.#releaseExchange,
     });
     this.#trackExchange(exchange);
@@ -385,9 +394,3 @@
     );
   }
 }
-
-function waitMs(durationMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, durationMs);
-  });
-}
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -32,6 +32,8 @@
   readonly dialect: ServingDialect;
   /** Returns true if the connection is to be closed after the response. */
   readonly isStopping: () => boolean;
+  /** Returns true if a later request of the connection waits for its response. */
+  readonly isFollowed: (exchange: CallerExchange) => boolean;
   /** Called when the response is complete or its connection is closed. */
   readonly releaseExchange: (exchange: CallerExchange) => void;
 }
@@ -55,6 +57,7 @@
   #resolveClosed: () => void = () => undefined;
   #disconnectListener: (() => void) | undefined;
   #isCallerDisconnected = false;
+  #isLastOnConnection = false;
   /** Refusal that limpetford answered with, if it did. */
   refusal: Refusal | undefined;
 
@@ -98,6 +101,15 @@
     return this.#isCallerDisconnected;
   }
 
+  /**
+   * Whether the response says that the connection is closed behind it.
+   *
+   * @returns true if no later request of the connection can be answered
+   */
+  get isLastOnConnection(): boolean {
+    return this.#isLastOnConnection;
+  }
+
   /**
    * Sets the callback for a caller that disconnects before the response is
    * complete.
@@ -122,10 +134,10 @@
     if (this.#isCallerDisconnected || this.writer.hasSentHeaders) {
       return;
     }
-    const isBodyUnread = !this.request.complete;
+    this.#isLastOnConnection = this.#shouldCloseConnection();
     this.#options.dialect.sendRefusal(this.response, refusal, {
       requestId: this.id,
-      isLastOnConnection: isBodyUnread || this.#options.isStopping(),
+      isLastOnConnection: this.#isLastOnConnection,
       isForwarded: this.forwarding !== undefined,
       random: this.#options.random,
     });
@@ -179,7 +191,8 @@
     if (this.forwarding !== undefined) {
       headers.push(FORWARDED_HEADER, FORWARDED_RESULT.answered);
     }
-    if (this.#options.isStopping() || !this.request.complete) {
+    this.#isLastOnConnection = this.#shouldCloseConnection();
+    if (this.#isLastOnConnection) {
       headers.push("connection", "close");
     }
     this.writer.writeHeaders(status, headers);
@@ -236,6 +249,12 @@
     this.#options.releaseExchange(this);
   }
 
+  // A request that follows is read only behind the whole body of this one.
+  #shouldCloseConnection(): boolean {
+    const { isStopping, isFollowed } = this.#options;
+    return !this.request.complete || (isStopping() && !isFollowed(this));
+  }
+
   #markDisconnected(): void {
     if (!this.#isCallerDisconnected) {
       this.#isCallerDisconnected = true;
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -203,6 +203,17 @@
     }
   }
 
+  /**
+   * Writes bytes to all connections.
+   *
+   * @param bytes - bytes to write
+   */
+  writeToAll(bytes: string): void {
+    for (const socket of this.#sockets) {
+      socket.write(bytes);
+    }
+  }
+
   /**
    * Crashes: resets all connections and refuses new ones.
    *
