fix: a response reaches a caller that is still sending its body

A VM that answered before it had read the whole body closed the connection at once. The kernel resets a connection that is closed with unread bytes: a caller that was still sending lost the response, refusals (404, 401; promises that a request has not run go the same way) and responses that a server gave early.

Cause: `Connection: close` makes Node call `destroySoon` behind the response. RFC 9112, 9.6 asks for the end of the sending side first, and for reading on.

Now the connection is ended, and closed when the body has been read or after 1 s. A request that is read behind that end is not passed on.

--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -321,7 +321,8 @@
   ): void {
     this.#runFor(request.socket, () => {
       const before = this.#exchanges.get(request.socket)?.at(-1);
-      if (before?.isLastOnConnection === true) {
+      const hasEnded = request.socket.writableEnded;
+      if (hasEnded || before?.isLastOnConnection === true) {
         // It crosses the close of its connection, and could not be answered.
         request.resume();
       } else {
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -12,6 +12,7 @@
 } from "../dialect/forwarding_headers.ts";
 import { HEADER } from "../dialect/header_names.ts";
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
+import { closeBehindBody } from "../http/close_behind_body.ts";
 import type { ReplayableResponse } from "../ports/idempotency_ledger.ts";
 import type { Refusal } from "./refusal.ts";
 import { hasBody } from "./response_framing.ts";
@@ -252,7 +253,11 @@
   // A request that follows is read only behind the whole body of this one.
   #shouldCloseConnection(): boolean {
     const { isStopping, isFollowed } = this.#options;
-    return !this.request.complete || (isStopping() && !isFollowed(this));
+    if (!this.request.complete) {
+      closeBehindBody(this.request);
+      return true;
+    }
+    return isStopping() && !isFollowed(this);
   }
 
   #markDisconnected(): void {
