--- a/packages/standins/src/fleet/stopped_connections_test.ts
+++ b/packages/standins/src/fleet/stopped_connections_test.ts
@@ -1,12 +1,12 @@
-import { execFileSync } from "node:child_process";
 import * as net from "node:net";
 
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
+import { buildBundle } from "./bundle.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
 import { FETCH_KEY } from "./response_fetch.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const CALLERS = 10;
 const BEFORE_STOP_MS = 150;
@@ -38,7 +38,7 @@
   let vm: VmProcessHandle;
   let sockets: net.Socket[];
   beforeAll(() => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
   });
   beforeEach(async () => {
     fleet = new FleetProcesses();
--- a/packages/standins/src/fleet/unread_body_test.ts
+++ b/packages/standins/src/fleet/unread_body_test.ts
@@ -1,10 +1,10 @@
-import { execFileSync } from "node:child_process";
 import * as net from "node:net";
 
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
+import { buildBundle } from "./bundle.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
 import { FETCH_KEY } from "./response_fetch.ts";
-import { BUNDLE_DIRECTORY, type VmProcessHandle } from "./vm_process_handle.ts";
+import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const CALLERS = 10;
 const PARTS = 30;
@@ -50,7 +50,7 @@
   let fleet: FleetProcesses;
   let vm: VmProcessHandle;
   beforeAll(async () => {
-    execFileSync(process.execPath, ["tools/bundle.js", BUNDLE_DIRECTORY]);
+    buildBundle();
     fleet = new FleetProcesses();
     await fleet.start({ servers: 1, zones: [1] });
     const [first] = fleet.vms;
