fix: exceptions of calls to the store and of probes end only these

What callers saw: the VM stopped, gracefully, by one exception in the loop of a topic's reads, the writing of its record, of the store's era or of requests that crash servers, a probe of a server, or a round of connects that FleetReach or ZoneLeadership had begun. After some of them nothing of the kind happened again: a round, a probe and a write that threw counted as under way for good.

Cause: promises that nobody waited for; flags that only success cleared.

Change: each is waited for through ContainedExceptions. Sources: `store`, `timer` (rounds, as those of the monitor), and the new `server` (probes). A connect that throws counts as no answer; the attempts of a probe that threw are kept for the next one.

--- a/packages/entry/src/fakes/exchange_side.ts
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -29,6 +29,7 @@
 } from "../fleet/shared_rate_limiter.ts";
 import { SUSPICION_READER } from "../fleet/suspicions_handler.ts";
 import { SyncMessages } from "../fleet/sync_messages.ts";
+import { CollectedExceptions } from "./collected_exceptions.ts";
 
 /**
  * Builds the record of a VM.
@@ -79,6 +80,7 @@
   readonly messages: SyncMessages;
   readonly balancers: ServiceBalancers;
   readonly log: FleetLog;
+  readonly exceptions = new CollectedExceptions();
   readonly crashes: CrashProtection;
   readonly limits: ServerRateLimits;
   readonly reach: FleetReach;
@@ -106,12 +108,13 @@
     this.state.markCrashingRequestsKnown();
     this.peers = new FleetPeers(this.self, this.state, clock);
     this.log = new FleetLog({ clock, level: "error", vm: id });
-    const { state, peers, log } = this;
+    const { state, peers, log, exceptions } = this;
     this.crashes = new CrashProtection({
       probe: new TcpConnectProbe(),
       client: new StoreClient({ host: "127.0.0.1", port: 1 }),
       clock,
       log,
+      exceptions,
       verifyLinks: () => Promise.resolve(true),
       findStart: (server) => state.findServer(server),
       readReader: () => SUSPICION_READER.none,
@@ -143,6 +146,7 @@
       balancers: this.balancers,
       monitor: { verify: () => Promise.resolve() },
       clock,
+      exceptions,
       notifyChange: () => undefined,
     });
     this.limiter = new SharedRateLimiter({
--- a/packages/entry/src/fleet/crash_guard.ts
+++ b/packages/entry/src/fleet/crash_guard.ts
@@ -13,6 +13,10 @@
   PlacementRequest,
   PlacementVerdict,
 } from "../ports/server_router.ts";
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "../telemetry/contained_exceptions.ts";
 import type { ConnectProbe } from "./connect_probe.ts";
 import {
   CrashObserver,
@@ -44,6 +48,8 @@
   readonly probe: ConnectProbe;
   readonly clock: Clock;
   readonly log: FleetLog;
+  /** Receives what probes throw. */
+  readonly exceptions: ContainedExceptions;
   /** Finds out whether this VM reaches other servers, if one refuses it. */
   readonly verifyLinks: (server: ServerId) => Promise<boolean>;
   /** Called after each crash of a server that this VM has noticed. */
@@ -75,10 +81,7 @@
   constructor(options: CrashGuardOptions) {
     this.#options = options;
     this.#observer = new CrashObserver({
-      probe: options.probe,
-      clock: options.clock,
-      log: options.log,
-      verifyLinks: options.verifyLinks,
+      ...options,
       handleCrash: (crash) => {
         this.#recordCrash(crash);
       },
@@ -196,9 +199,10 @@
     if (probe === undefined) {
       this.withdraw(request);
     } else {
-      void probe.then(() => {
+      const withdrawn = probe.then(() => {
         this.withdraw(request);
       });
+      void this.#options.exceptions.wait(EXCEPTION_SOURCE.server, withdrawn);
     }
   }
 
--- a/packages/entry/src/fleet/crash_guard_test.ts
+++ b/packages/entry/src/fleet/crash_guard_test.ts
@@ -2,6 +2,7 @@
 import { FakeClock } from "@limpetford/core/time/fake_clock";
 import { type ServerId, toId } from "@limpetford/domain/ids";
 
+import { CollectedExceptions } from "../fakes/collected_exceptions.ts";
 import { buildPlacementRequest } from "../fakes/placement_request.ts";
 import type {
   AttemptOutcome,
@@ -60,6 +61,7 @@
       probe,
       clock,
       log: new FleetLog({ clock, level: "error", vm: "vm-1" }),
+      exceptions: new CollectedExceptions(),
       verifyLinks: () => Promise.resolve(true),
       handleCrash: () => undefined,
     });
--- a/packages/entry/src/fleet/crash_observer.ts
+++ b/packages/entry/src/fleet/crash_observer.ts
@@ -10,6 +10,10 @@
   AttemptSample,
   PlacementRequest,
 } from "../ports/server_router.ts";
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "../telemetry/contained_exceptions.ts";
 import type { ConnectProbe, ConnectResult } from "./connect_probe.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import {
@@ -41,6 +45,8 @@
   readonly probe: ConnectProbe;
   readonly clock: Clock;
   readonly log: FleetLog;
+  /** Receives what a probe's steps throw; its attempts are kept. */
+  readonly exceptions: ContainedExceptions;
   /** Finds out whether this VM reaches other servers, if one refuses it. */
   readonly verifyLinks: (server: ServerId) => Promise<boolean>;
   /** Called for each crash. */
@@ -194,7 +200,13 @@
     if (running !== undefined) {
       return running;
     }
-    const probe = this.#probe(server);
+    const probe = this.#options.exceptions
+      .wait(EXCEPTION_SOURCE.server, this.#probe(server))
+      .finally(() => {
+        if (this.#probes.get(server.id) === probe) {
+          this.#probes.delete(server.id);
+        }
+      });
     this.#probes.set(server.id, probe);
     return probe;
   }
--- a/packages/entry/src/fleet/crash_observer_test.ts
+++ b/packages/entry/src/fleet/crash_observer_test.ts
@@ -2,6 +2,7 @@
 import { type ServerId, toId } from "@limpetford/domain/ids";
 import { SERVER_STATE } from "@limpetford/domain/service";
 
+import { CollectedExceptions } from "../fakes/collected_exceptions.ts";
 import { buildPlacementRequest } from "../fakes/placement_request.ts";
 import type { AttemptOutcome } from "../ports/server_router.ts";
 import { ConnectProbe, type ConnectResult } from "./connect_probe.ts";
@@ -48,6 +49,7 @@
       probe: this.probe,
       clock: this.clock,
       log: new FleetLog({ clock: this.clock, level: "error", vm: "vm-1" }),
+      exceptions: new CollectedExceptions(),
       verifyLinks: () => Promise.resolve(this.areLinksSound),
       handleCrash: (crash) => this.crashes.push(crash),
     });
--- a/packages/entry/src/fleet/crash_protection.ts
+++ b/packages/entry/src/fleet/crash_protection.ts
@@ -6,6 +6,7 @@
 import type { ServerId } from "@limpetford/domain/ids";
 import type { StoreClient } from "@limpetford/platform/store/store_client";
 
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import type { ConnectProbe } from "./connect_probe.ts";
 import { CrashGuard } from "./crash_guard.ts";
@@ -34,6 +35,8 @@
   readonly client: StoreClient;
   readonly clock: Clock;
   readonly log: FleetLog;
+  /** Receives what probes and writes throw; the next ones follow. */
+  readonly exceptions: ContainedExceptions;
   /** Reads this VM's part in reading and writing the store. */
   readonly readReader: () => SuspicionReader;
   /** Called when there is something to tell the other VMs at once. */
@@ -59,7 +62,7 @@
    */
   constructor(options: CrashProtectionOptions) {
     const { registry } = this;
-    const { probe, client, clock, log, readReader } = options;
+    const { clock, log } = options;
     this.#options = options;
     this.#startedAtMs = clock.readMonotonicMs();
     this.suspicions = new SuspicionSync({
@@ -72,19 +75,13 @@
       },
     });
     this.handler = new SuspicionsHandler({
+      ...options,
       registry,
       suspicions: this.suspicions,
-      client,
-      clock,
-      log,
-      readReader,
     });
     this.guard = new CrashGuard({
+      ...options,
       registry,
-      probe,
-      clock,
-      log,
-      verifyLinks: options.verifyLinks,
       handleCrash: (crash) => {
         this.#handleCrash(crash);
       },
--- a/packages/entry/src/fleet/fleet_reach.ts
+++ b/packages/entry/src/fleet/fleet_reach.ts
@@ -9,6 +9,10 @@
 import type { Vm } from "@limpetford/domain/vm";
 import type { SyncMessage, VmReachRow } from "@limpetford/peer/fleet_sync";
 
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "../telemetry/contained_exceptions.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { ServerReachMonitor } from "./server_reach_monitor.ts";
 import type { ServiceBalancers } from "./service_balancers.ts";
@@ -30,6 +34,8 @@
   readonly balancers: ServiceBalancers;
   readonly monitor: Pick<ServerReachMonitor, "verify">;
   readonly clock: Clock;
+  /** Receives what a check of the links throws; the next one follows. */
+  readonly exceptions: ContainedExceptions;
   /** Called when there is something to tell the other VMs. */
   readonly notifyChange: () => void;
 }
@@ -115,18 +121,25 @@
     this.#verifyIfNeeded();
   }
 
-  /** Checks the links, as this VM is about to serve callers. */
+  /** Checks the links, as this VM is about to serve callers; never rejects. */
   async verify(): Promise<void> {
-    const { monitor, clock, notifyChange } = this.#options;
+    const { monitor, clock, exceptions } = this.#options;
     if (this.#isVerifying) {
       return;
     }
     this.#isVerifying = true;
-    await monitor.verify();
+    await exceptions.wait(EXCEPTION_SOURCE.timer, monitor.verify());
     this.#isVerifying = false;
     this.#verifiedAtMs = clock.readMonotonicMs();
-    notifyChange();
-    setTimeout(notifyChange, TAKEOVER_DELAY_MS).unref();
+    this.#notifyChange();
+    setTimeout(() => {
+      this.#notifyChange();
+    }, TAKEOVER_DELAY_MS).unref();
+  }
+
+  #notifyChange(): void {
+    const { exceptions, notifyChange } = this.#options;
+    exceptions.run(EXCEPTION_SOURCE.timer, notifyChange);
   }
 
   // A VM without callers does not know whether it reaches servers. It finds out
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -24,6 +24,7 @@
 import { FleetReach } from "./fleet_reach.ts";
 import { type FleetSettings, listOtherSeeds } from "./fleet_settings.ts";
 import { FleetState } from "./fleet_state.ts";
+import { GuardedConnectProbe } from "./guarded_connect_probe.ts";
 import { stopParts } from "./part_stop.ts";
 import { PlacementRouter } from "./placement_router.ts";
 import { startRegularSteps } from "./regular_steps.ts";
@@ -119,24 +120,26 @@
     });
     this.#loop = new EventLoopMonitor(clock);
     this.#client = new StoreClient(settings.storeAddress);
-    this.#registration = new VmRegistration(self, this.#client, log);
+    this.#registration = new VmRegistration(self, {
+      ...dependencies,
+      client: this.#client,
+    });
     const state = this.#state = new FleetState(clock);
     state.applyVm(self);
     const traffic = new ZoneTraffic({ self, state, metrics });
     this.#calls = new FleetCallClient(traffic, exceptions.buildHandler("peer"));
     this.#peers = new FleetPeers(self, state, clock);
-    const probe = new TcpConnectProbe();
+    const probe = new GuardedConnectProbe(new TcpConnectProbe(), exceptions);
     this.#directory = new DirectoryServer(
       new FleetDirectory({ self, state, peers: this.#peers, clock }),
       exceptions,
     );
     this.#crashes = new CrashProtection({
+      ...dependencies,
       probe,
       verifyLinks: (server) => this.#reach.verifyLinks(server),
       findStart: (server) => state.findServer(server),
       client: this.#client,
-      clock,
-      log,
       readReader: () => this.#reads.decideSuspicionReader(),
       notifyNews: () => {
         this.#exchange.sendEvidence();
@@ -171,11 +174,11 @@
       },
     });
     const fleetReach = new FleetReach({
+      ...dependencies,
       self,
       peers: this.#peers,
       balancers: this.#balancers,
       monitor: this.#reach,
-      clock,
       notifyChange,
     });
     const forwarder = new RequestForwarder({
@@ -257,17 +260,12 @@
     });
     this.#consumers = this.#buildConsumers();
     this.#callerServer = createFleetCallerServer(settings, {
+      ...dependencies,
       guard: this.#crashes.guard,
       state,
       limiter,
       router: this.#router,
       loop: this.#loop,
-      clock,
-      random,
-      log,
-      metrics,
-      exceptions,
-      heapLimitBytes: dependencies.heapLimitBytes,
     });
   }
 
@@ -392,7 +390,7 @@
 
   // A store that has returned from a copy may have lost this VM's record.
   #handleStoreReturn(isFirst: boolean): void {
-    void this.#storeEra.load();
+    void this.#dependencies.exceptions.wait("store", this.#storeEra.load());
     if (!isFirst) {
       void this.#registration.write();
     }
--- a/packages/entry/src/fleet/server_reach_monitor.ts
+++ b/packages/entry/src/fleet/server_reach_monitor.ts
@@ -153,8 +153,11 @@
     const running = this.#rounds.get(service) ??
       this.#connect(service, balancer);
     this.#rounds.set(service, running);
-    await running;
-    this.#rounds.delete(service);
+    try {
+      await running;
+    } finally {
+      this.#rounds.delete(service);
+    }
   }
 
   async #connect(service: ServiceId, balancer: Balancer): Promise<void> {
--- a/packages/entry/src/fleet/store_era_record.ts
+++ b/packages/entry/src/fleet/store_era_record.ts
@@ -74,9 +74,13 @@
       return;
     }
     this.#isWriting = true;
-    const value = encodeStoreEra(era);
-    const written = await client.appendRecord(TOPIC.vms, STORE_ERA_KEY, value);
-    this.#isWriting = false;
+    const written = await client.appendRecord(
+      TOPIC.vms,
+      STORE_ERA_KEY,
+      encodeStoreEra(era),
+    ).finally(() => {
+      this.#isWriting = false;
+    });
     if (written.ok) {
       this.#writtenEra = era;
     } else {
--- a/packages/entry/src/fleet/suspicions_handler.ts
+++ b/packages/entry/src/fleet/suspicions_handler.ts
@@ -21,6 +21,10 @@
 } from "@limpetford/platform/store/suspicion_codec";
 import { TOPIC } from "@limpetford/platform/store/wire_names";
 
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "../telemetry/contained_exceptions.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { SuspicionSync } from "./suspicion_sync.ts";
 import { TopicHandler } from "./topic_consumer.ts";
@@ -61,6 +65,8 @@
   readonly client: StoreClient;
   readonly clock: Clock;
   readonly log: FleetLog;
+  /** Receives what a write throws; the next one follows. */
+  readonly exceptions: ContainedExceptions;
   /** Reads this VM's present part. */
   readonly readReader: () => SuspicionReader;
 }
@@ -152,6 +158,13 @@
 
   /** Writes what the store lacks, if that is this VM's part. */
   async writeMissing(): Promise<void> {
+    await this.#options.exceptions.wait(
+      EXCEPTION_SOURCE.store,
+      this.#writeMissing(),
+    );
+  }
+
+  async #writeMissing(): Promise<void> {
     const nowMs = this.#options.clock.readMonotonicMs();
     if (this.#isWriting || nowMs < this.#writeAtMs) {
       return;
@@ -165,8 +178,11 @@
       return;
     }
     this.#isWriting = true;
-    await this.#append(records, written);
-    this.#isWriting = false;
+    try {
+      await this.#append(records, written);
+    } finally {
+      this.#isWriting = false;
+    }
   }
 
   async #append(
--- a/packages/entry/src/fleet/topic_consumer.ts
+++ b/packages/entry/src/fleet/topic_consumer.ts
@@ -82,7 +82,7 @@
   readonly client: StoreClient;
   readonly clock: Clock;
   readonly log: FleetLog;
-  /** Receives what a read throws; it is repeated later. */
+  /** Receives what a turn throws; the next one follows. */
   readonly exceptions: ContainedExceptions;
 }
 
@@ -113,18 +113,11 @@
   /** Reads whenever a read is due, with backoff on errors, until stopped. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
-      const dueInMs = this.#handler.readDueInMs();
-      if (dueInMs > 0) {
-        await this.#wait(
-          Math.min(MAX_PAUSE_MS, Math.max(MIN_PAUSE_MS, dueInMs)),
-        );
-        continue;
-      }
-      const error = await this.#readGuarded();
-      if (error === undefined) {
-        this.#recordSuccess();
-      } else {
-        await this.#handleFailure(error);
+      try {
+        await this.#runTurn();
+      } catch (error) {
+        this.#options.exceptions.report(EXCEPTION_SOURCE.store, error);
+        await this.#wait(MAX_RETRY_MS);
       }
     }
   }
@@ -136,6 +129,20 @@
     this.#wake?.();
   }
 
+  async #runTurn(): Promise<void> {
+    const dueInMs = this.#handler.readDueInMs();
+    if (dueInMs > 0) {
+      await this.#wait(Math.min(MAX_PAUSE_MS, Math.max(MIN_PAUSE_MS, dueInMs)));
+      return;
+    }
+    const error = await this.#readGuarded();
+    if (error === undefined) {
+      this.#recordSuccess();
+    } else {
+      await this.#handleFailure(error);
+    }
+  }
+
   async #readGuarded(): Promise<StoreError | undefined> {
     try {
       return await this.#readOnce();
--- a/packages/entry/src/telemetry/contained_exceptions.ts
+++ b/packages/entry/src/telemetry/contained_exceptions.ts
@@ -6,6 +6,7 @@
   directory: "directory",
   metrics: "metrics",
   peer: "peer",
+  server: "server",
   stop: "stop",
   store: "store",
   timer: "timer",
--- a/packages/standins/src/platform/suspicion_store_test.ts
+++ b/packages/standins/src/platform/suspicion_store_test.ts
@@ -1,5 +1,6 @@
 import { SuspicionRegistry } from "@limpetford/core/quarantine/suspicion_registry";
 import { FakeClock } from "@limpetford/core/time/fake_clock";
+import { CollectedExceptions } from "@limpetford/entry/fakes/collected_exceptions";
 import { FleetLog } from "@limpetford/entry/fleet/fleet_log";
 import { SuspicionSync } from "@limpetford/entry/fleet/suspicion_sync";
 import {
@@ -36,6 +37,7 @@
       client,
       clock,
       log,
+      exceptions: new CollectedExceptions(),
       readReader: () => this.reader,
     });
   }
