fix: an exception while a slot is given ends only that request

What callers saw: the VM stopped gracefully if asking for the token of a server's rate limit threw; the request heard nothing until its deadline, and the slot stayed taken for good. Without a token, the request was refused, but its slot stayed taken; in the queue the requests decided on in the same turn were lost as well.

Cause: PlacementRouter did not wait for what settles a slot; ServerTokenClient promised never to reject, and did.

Change: what settles a slot runs in one guarded step: the slot is given back, the request hears "no server". A call for tokens that throws counts as a reply that was lost (source `peer`).

--- a/packages/entry/src/fakes/exchange_side.ts
+++ b/packages/entry/src/fakes/exchange_side.ts
@@ -127,6 +127,7 @@
       peers,
       clock,
       log,
+      exceptions,
       random: new SeededRandomSource(1),
       notifyChange: () => undefined,
       calls: options.calls ?? LOST_CALLS,
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -15,7 +15,11 @@
   ServerRouter,
 } from "../ports/server_router.ts";
 import { UNUSED_SAMPLE } from "../serving/lazy_slot_request.ts";
-import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "../telemetry/contained_exceptions.ts";
+import { describeBalancer } from "./balancer_description.ts";
 import type { CrashGuard } from "./crash_guard.ts";
 import { buildDemand, readServiceId } from "./demand_builder.ts";
 import type { FleetLog } from "./fleet_log.ts";
@@ -36,6 +40,10 @@
 
 /** Retry delay told to callers of a service without available servers. */
 const NO_SERVER_RETRY_MS = 500;
+const NO_SERVER_VERDICT = {
+  kind: "no-server",
+  retryAfterMs: NO_SERVER_RETRY_MS,
+} as const;
 /** How long after a request this VM counts as serving callers. */
 const RECENT_REQUEST_MS = 2_000;
 /** A hedge is sent after this multiple of the expected service time. */
@@ -65,6 +73,12 @@
   readonly grant?: TokenGrant | undefined;
 }
 
+// A request, and the slot that it may get.
+interface OfferedSlot {
+  readonly pending: PendingPlacement;
+  readonly slot: TakenSlot;
+}
+
 /** Routes requests with one load balancer for each configured service. */
 export class PlacementRouter extends ServerRouter {
   readonly #options: PlacementRouterOptions;
@@ -120,7 +134,7 @@
     this.#requestedAtMs = nowMs;
     const service = this.#options.balancers.find(request);
     if (service === undefined) {
-      return { kind: "no-server", retryAfterMs: NO_SERVER_RETRY_MS };
+      return NO_SERVER_VERDICT;
     }
     if (!this.#mayEndInTime(service, request)) {
       return STOPPING_VERDICT;
@@ -194,15 +208,7 @@
   override describeService(id: ServiceId): unknown {
     const nowMs = this.#options.clock.readMonotonicMs();
     const service = this.#options.balancers.findService(id);
-    return service && {
-      grayShare: service.grayShare,
-      waiting: service.waitingCount,
-      servers: service.listServers().map((server) => ({
-        id: server.announced.id,
-        load: server.load,
-        failure: server.estimateFailureProbability(service.grayShare, nowMs),
-      })),
-    };
+    return service && describeBalancer(service, nowMs);
   }
 
   #mayEndInTime(service: Balancer, { context }: PlacementRequest): boolean {
@@ -236,42 +242,59 @@
   ): void {
     switch (decision.kind) {
       case "placed":
-        if (!this.#mayEndInTime(service, pending.request)) {
-          service.complete(
-            decision.slot,
-            UNUSED_SAMPLE,
-            this.#options.clock.readMonotonicMs(),
-          );
-          pending.resolve(STOPPING_VERDICT);
-        } else if (decision.slot.needsToken) {
-          void this.#acquireToken(service, pending, decision.slot);
-        } else {
-          this.#settlePlaced(service, pending, { slot: decision.slot });
-        }
+        void this.#settleSlot(service, { pending, slot: decision.slot });
         break;
       case "overloaded":
         pending.resolve(decision);
         break;
       case "no-server":
-        pending.resolve({ ...decision, retryAfterMs: NO_SERVER_RETRY_MS });
+        pending.resolve(NO_SERVER_VERDICT);
         break;
     }
   }
 
+  // What is thrown ends this one request; the slot is given back.
+  async #settleSlot(service: Balancer, offered: OfferedSlot): Promise<void> {
+    const { pending, slot } = offered;
+    try {
+      if (!this.#mayEndInTime(service, pending.request)) {
+        this.#returnSlot(service, slot);
+        pending.resolve(STOPPING_VERDICT);
+      } else if (slot.needsToken) {
+        await this.#acquireToken(service, offered);
+      } else {
+        this.#settlePlaced(service, pending, { slot });
+      }
+    } catch (error) {
+      const { exceptions } = this.#options;
+      exceptions.report(EXCEPTION_SOURCE.caller, error);
+      exceptions.run(EXCEPTION_SOURCE.caller, () => {
+        this.#returnSlot(service, slot);
+      });
+      pending.resolve(NO_SERVER_VERDICT);
+    }
+  }
+
+  #returnSlot(service: Balancer, slot: TakenSlot): void {
+    const nowMs = this.#options.clock.readMonotonicMs();
+    service.complete(slot, UNUSED_SAMPLE, nowMs);
+  }
+
   // The slot is kept while the VM that grants the server's tokens is asked.
   async #acquireToken(
     service: Balancer,
-    pending: PendingPlacement,
-    slot: TakenSlot,
+    { pending, slot }: OfferedSlot,
   ): Promise<void> {
-    const { limits, clock } = this.#options;
+    const { limits, clock, exceptions } = this.#options;
     const { announced } = slot.server;
     const verdict = await limits.client.take(announced, service.waitingCount);
     const nowMs = clock.readMonotonicMs();
     if (verdict.kind === "granted") {
       service.grantToken(slot, nowMs);
       this.#settlePlaced(service, pending, { slot, grant: verdict.grant });
-      this.#decideWaiting(service);
+      exceptions.run(EXCEPTION_SOURCE.timer, () => {
+        this.#decideWaiting(service);
+      });
       return;
     }
     this.#log.recordDeferred(pending.request, announced.id, verdict);
--- a/packages/entry/src/fleet/server_rate_limits.ts
+++ b/packages/entry/src/fleet/server_rate_limits.ts
@@ -25,7 +25,7 @@
 export type ServerRateLimitsOptions =
   & LimitOwnershipOptions
   & ServerLimitTrackerOptions
-  & Pick<ServerTokenClientOptions, "calls" | "random">;
+  & Pick<ServerTokenClientOptions, "calls" | "exceptions" | "random">;
 
 /** A request whose response has arrived. */
 export interface AnsweredRequest {
--- a/packages/entry/src/fleet/server_token_client.ts
+++ b/packages/entry/src/fleet/server_token_client.ts
@@ -17,6 +17,10 @@
 } from "@limpetford/peer/fleet_sync";
 import type { PeerError } from "@limpetford/peer/peer_error";
 
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "../telemetry/contained_exceptions.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { LimitOwnership } from "./limit_ownership.ts";
 import type { ServerLimitTracker } from "./server_limit_tracker.ts";
@@ -55,6 +59,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly log: FleetLog;
+  /** Receives what a call throws; its reply counts as lost. */
+  readonly exceptions: ContainedExceptions;
 }
 
 /** Asks for tokens, and reports what responses say of limits. */
@@ -80,6 +86,18 @@
   async take(
     server: AnnouncedServer,
     waitingCount: number,
+  ): Promise<TokenVerdict> {
+    try {
+      return await this.#take(server, waitingCount);
+    } catch (error) {
+      this.#options.exceptions.report(EXCEPTION_SOURCE.peer, error);
+      return makeRefusal("owner-silent", NO_OWNER_RETRY_MS);
+    }
+  }
+
+  async #take(
+    server: AnnouncedServer,
+    waitingCount: number,
   ): Promise<TokenVerdict> {
     const { tracker, ownership } = this.#options;
     const limit = tracker.findRow(server);
@@ -119,16 +137,17 @@
     { id, startedAtMs, zone }: AnnouncedServer,
     report: Pick<ServerLimitReport, "requestsPerSecond" | "grant">,
   ): void {
-    const { self, ownership, issuer } = this.#options;
+    const { self, ownership, issuer, calls, exceptions } = this.#options;
     const full = { server: id, startedAtMs, ...report };
     const owner = ownership.findOwner(zone);
     if (owner?.incarnation.vm === self.incarnation.vm) {
       issuer.handleReport(full);
     } else if (owner !== undefined) {
-      void this.#sendCall(
+      const call = this.#sendCall(
         owner,
-        (options) => this.#options.calls.sendServerLimitReport(full, options),
+        (options) => calls.sendServerLimitReport(full, options),
       );
+      void exceptions.wait(EXCEPTION_SOURCE.peer, call);
     }
   }
 
