--- a/packages/entry/src/fleet/probe_exceptions_test.ts
+++ b/packages/entry/src/fleet/probe_exceptions_test.ts
@@ -153,9 +153,9 @@
     const leadership = new ZoneLeadership(
       {
         peers: side.peers,
-      balancers: side.balancers,
-      limiter: side.limiter,
-      log: side.log,
+        balancers: side.balancers,
+        limiter: side.limiter,
+        log: side.log,
         self: buildExchangeVm("vm-1"),
         clock,
         reach,
