fix: an exception of an attempt's step ends only that attempt, with a line

What callers saw: within the HTTP client's parser, a step that threw broke the connection without any line; outside it (the last chunk's turn of the event loop, the check that the server runs on, the witness of a body without a length, the notice of a lost idle connection) the VM stopped gracefully, and the request heard nothing until its deadline.

Cause: the handlers of undici and of the event loop ran the attempt's steps bare.

Change: the guard of a request's steps (SeriesGuard, now StepGuard, with its source) runs those of an attempt as well: source `server`, the attempt fails as by a broken connection, and nothing is sent if the step comes before the first byte. A connection that can't be kept does not withhold its response.

--- a/packages/entry/src/fakes/backend_exchange.ts
+++ b/packages/entry/src/fakes/backend_exchange.ts
@@ -6,9 +6,11 @@
   type AttemptFailure,
   AttemptListener,
 } from "../serving/attempt_listener.ts";
+import type { AttemptRequest } from "../serving/attempt_message.ts";
 import { BackendAttempt } from "../serving/backend_attempt.ts";
 import type { BackendConnection } from "../serving/backend_connection.ts";
 import { BackendConnectionPool } from "../serving/backend_connection_pool.ts";
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import { SystemClock } from "../vm/system_clock.ts";
 
 /** How an attempt ended. */
@@ -65,6 +67,10 @@
   readonly timeoutMs?: number | undefined;
   /** Finds out whether the server still runs; unknown by default. */
   readonly verifyServer?: () => Promise<boolean>;
+  /** What differs from a request that is sent as it is. */
+  readonly request?: Partial<AttemptRequest>;
+  /** Receives what the attempts' steps throw; not reported by default. */
+  readonly exceptions?: ContainedExceptions;
 }
 
 /** What a series of requests came to. */
@@ -134,8 +140,9 @@
 
 async function sendOnce(
   { pool, port, id }: ExchangeTarget,
-  { buildListener, timeoutMs, verifyServer }: ExchangeOptions,
+  options: ExchangeOptions,
 ): Promise<AttemptEnd> {
+  const { buildListener, timeoutMs, verifyServer, exceptions } = options;
   const connection = pool.acquire({ host: "127.0.0.1", port });
   const listener = buildListener?.(connection) ?? new EndListener();
   const attempt = new BackendAttempt(
@@ -153,9 +160,10 @@
       mayEndWithConnection: true,
       mayDispatch: undefined,
       verifyServer,
+      ...options.request,
     },
     connection,
-    { clock: new SystemClock(), listener },
+    { clock: new SystemClock(), listener, exceptions },
   );
   const timer = timeoutMs === undefined ? undefined : setTimeout(() => {
     attempt.cancel("timed-out");
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -86,7 +86,10 @@
     this.#options = options;
     this.#loop = ports.loop ?? new EventLoopMonitor(ports.clock);
     this.#acceptQueue = new AcceptQueueMonitor(ports.clock, this.#loop);
-    this.#connections = new BackendConnectionPool(ports.clock, options.backend);
+    this.#connections = new BackendConnectionPool(ports.clock, {
+      ...options.backend,
+      exceptions: ports.exceptions,
+    });
     this.#peerConnections = new BackendConnectionPool(
       ports.clock,
       options.peerAuthority === undefined
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -3,6 +3,7 @@
 import type { ServerId } from "@limpetford/domain/ids";
 
 import type { Placement, PlacementRequest } from "../ports/server_router.ts";
+import { EXCEPTION_SOURCE } from "../telemetry/contained_exceptions.ts";
 import { AttemptCounter } from "./attempt_counter.ts";
 import {
   type AttemptFailure,
@@ -37,8 +38,8 @@
   type UnusedAttempt,
 } from "./running_attempts.ts";
 import { completeAttempt, openAttempt, returnSlot } from "./series_attempt.ts";
-import { SeriesGuard } from "./series_guard.ts";
 import type { ServingPorts } from "./serving_ports.ts";
+import { StepGuard } from "./step_guard.ts";
 
 /**
  * Sends a request until one attempt gives the response or no further attempt is
@@ -53,7 +54,7 @@
   readonly #tried: ServerId[] = [];
   readonly #attempts: AttemptCounter;
   readonly #slotFields: SeriesSlotFields;
-  readonly #guard: SeriesGuard;
+  readonly #guard: StepGuard;
   readonly #listener: GuardedListener;
   #winner: BackendAttempt | undefined;
   #timer: NodeJS.Timeout | undefined;
@@ -82,8 +83,12 @@
     this.#attempts = new AttemptCounter(request.context.terms);
     this.#request = request;
     this.#slotFields = new SeriesSlotFields(request.computeFingerprint);
-    this.#guard = new SeriesGuard(this.#ports.exceptions, () => {
-      this.#cancelFailed();
+    this.#guard = new StepGuard({
+      exceptions: this.#ports.exceptions,
+      source: EXCEPTION_SOURCE.caller,
+      abort: () => {
+        this.#cancelFailed();
+      },
     });
     this.#listener = new GuardedListener(this, this.#guard);
     this.#receiver = buildBufferedReceiver(receiver, dependencies);
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -1,10 +1,10 @@
 /** Sends a request once to a backend server and reads the response. */
 
 import type { Clock } from "@limpetford/core/time/clock";
-import type { Dispatcher } from "undici";
 
 import type { AttemptOutcome, AttemptSample } from "../ports/server_router.ts";
-import { buildAttemptHandler } from "./attempt_handler.ts";
+import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
+import { buildAttemptGuard, buildAttemptHandler } from "./attempt_handler.ts";
 import type {
   AttemptFailure,
   AttemptListener,
@@ -23,6 +23,7 @@
   computeMaxResponseBytes,
   hasUnknownCoding,
 } from "./response_framing.ts";
+import type { StepGuard } from "./step_guard.ts";
 import { UnsizedBody } from "./unsized_body.ts";
 
 const FIRST_UNSUCCESSFUL_STATUS = 300;
@@ -30,6 +31,8 @@
 /** Dependencies of a {@link BackendAttempt}. */
 export interface BackendAttemptOptions extends ReadFlowOptions {
   readonly listener: AttemptListener;
+  /** Receives what the attempt's steps throw; not reported if absent. */
+  readonly exceptions?: ContainedExceptions | undefined;
 }
 
 /**
@@ -42,6 +45,7 @@
   readonly #options: BackendAttemptOptions;
   readonly #clock: Clock;
   readonly #listener: AttemptListener;
+  readonly #guard: StepGuard;
   readonly #wasConnectionReused: boolean;
   readonly #copies = new EarlierCopies();
   #startedAtMs = 0;
@@ -77,6 +81,9 @@
     this.#connection = connection;
     this.#clock = options.clock;
     this.#listener = options.listener;
+    this.#guard = buildAttemptGuard(options.exceptions, () => {
+      this.#reportBreak();
+    });
     this.#wasConnectionReused = connection.servedCount > 0;
   }
 
@@ -101,22 +108,13 @@
   /** Sends the request. */
   start(): void {
     this.#startedAtMs = this.#clock.readMonotonicMs();
-    const { method, target, headers, body } = this.request;
-    try {
+    const { method, target: path, headers, body = null } = this.request;
+    this.#guard.run(() => {
       this.#connection.client.dispatch(
-        {
-          method,
-          path: target,
-          headers,
-          body: body ?? null,
-          idempotent: false,
-          blocking: true,
-        },
-        buildAttemptHandler(this),
+        { method, path, headers, body, idempotent: false, blocking: true },
+        buildAttemptHandler(this, this.#guard),
       );
-    } catch {
-      this.handleError();
-    }
+    });
   }
 
   /**
@@ -163,14 +161,9 @@
     };
   }
 
-  /**
-   * Called by the HTTP client before it sends the first byte.
-   *
-   * @param controller - aborts the exchange
-   */
-  handleRequestStart(controller: Dispatcher.DispatchController): void {
+  /** Called before the HTTP client sends, unless this ends the attempt. */
+  handleRequestStart(): void {
     if (this.#isFinished) {
-      controller.abort(new Error("attempt has already ended"));
       return;
     }
     if (this.#copies.hasAny) {
@@ -183,19 +176,17 @@
         outcome: "reset-before-first-byte",
         isMalformed: false,
       });
-      controller.abort(new Error("request has already been sent once"));
       return;
     }
     if (this.request.mayDispatch?.() === false) {
       this.#isDispatchDenied = true;
       this.#reportFailure({ outcome: "cancelled", isMalformed: false });
-      controller.abort(new Error("idempotency claim does not allow dispatch"));
       return;
     }
     this.#bytesReadBefore = this.#connection.bytesRead;
-    this.#connection.dataListener = (): void => {
+    this.#connection.dataListener = this.#guard.bind(() => {
       this.#checkFraming();
-    };
+    });
     this.#sentAtMs = this.#clock.readMonotonicMs();
   }
 
@@ -220,7 +211,7 @@
     this.#isSuccess = status < FIRST_UNSUCCESSFUL_STATUS;
     if (!checkResponseFraming(request.method, status, headers)) {
       const sentAtMs = this.#sentAtMs ?? this.#startedAtMs;
-      const options = { ...this.#options, sentAtMs };
+      const options = { ...this.#options, sentAtMs, guard: this.#guard };
       this.#unsizedBody = new UnsizedBody(this.#connection, request, options);
     }
     const isDelimited = !hasUnknownCoding(headers) &&
@@ -281,13 +272,17 @@
   /** Called by the HTTP client for a broken connection or invalid response. */
   handleError(): void {
     if (!this.#hasEnded) {
-      const outcome = this.#sentAtMs === undefined
-        ? "connect-failed"
-        : this.#findBreak();
-      this.#reportFailure({ outcome, isMalformed: false });
+      this.#reportBreak();
     }
   }
 
+  #reportBreak(): void {
+    const outcome = this.#sentAtMs === undefined
+      ? "connect-failed"
+      : this.#findBreak();
+    this.#reportFailure({ outcome, isMalformed: false });
+  }
+
   // The parser has no limit for the status line, blank lines before it, the
   // number of informational responses, and chunk extensions.
   #checkFraming(): void {
@@ -308,9 +303,9 @@
   #scheduleFlush(): void {
     if (!this.#isFlushScheduled) {
       this.#isFlushScheduled = true;
-      setImmediate(() => {
+      setImmediate(this.#guard.bind(() => {
         this.#flush();
-      });
+      }));
     }
   }
 
@@ -338,13 +333,17 @@
     const verified = this.#unsizedBody?.verifyServer();
     if (verified !== undefined) {
       this.#pendingChunk = chunk;
-      void verified.then(() => {
+      verified.then(() => {
         this.#flush();
+      }).catch((error: unknown) => {
+        this.#guard.handle(error);
       });
       return;
     }
     this.#markFinished();
-    this.#releaseConnection();
+    this.#guard.offer(() => {
+      this.#releaseConnection();
+    });
     this.#listener.receiveEnd(this, chunk);
   }
 
@@ -352,7 +351,7 @@
   #dropCopy(): void {
     if (
       !this.#copies.begin() ||
-      !this.#connection.receiveNext(buildAttemptHandler(this))
+      !this.#connection.receiveNext(buildAttemptHandler(this, this.#guard))
     ) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
     }
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -4,6 +4,10 @@
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import { buildConnector, Client } from "undici";
 
+import {
+  type ContainedExceptions,
+  EXCEPTION_SOURCE,
+} from "../telemetry/contained_exceptions.ts";
 import {
   BackendConnection,
   type ConnectionOwner,
@@ -32,6 +36,8 @@
   readonly authority?: Buffer;
   /** Called with the address of a server that has ended an idle connection. */
   readonly handleIdleLost?: (address: string) => void;
+  /** Receives what `handleIdleLost` throws; not reported if absent. */
+  readonly exceptions?: ContainedExceptions | undefined;
 }
 
 /**
@@ -247,9 +253,18 @@
       const error: NodeJS.ErrnoException | null = connection.socket?.errored ??
         null;
       if (error?.code !== IDLE_TIMEOUT_CODE) {
-        this.#options.handleIdleLost?.(address);
+        this.#notifyIdleLost(address);
       }
     }
     connection.abort();
   }
+
+  #notifyIdleLost(address: string): void {
+    const { handleIdleLost, exceptions } = this.#options;
+    try {
+      handleIdleLost?.(address);
+    } catch (error) {
+      exceptions?.report(EXCEPTION_SOURCE.server, error);
+    }
+  }
 }
--- a/packages/entry/src/serving/guarded_listener.ts
+++ b/packages/entry/src/serving/guarded_listener.ts
@@ -6,7 +6,7 @@
   type ResponseHead,
 } from "./attempt_listener.ts";
 import type { BackendAttempt } from "./backend_attempt.ts";
-import type { SeriesGuard } from "./series_guard.ts";
+import type { StepGuard } from "./step_guard.ts";
 
 /**
  * Passes calls to a listener. What it throws would otherwise end in a callback of
@@ -14,7 +14,7 @@
  */
 export class GuardedListener extends AttemptListener {
   readonly #listener: AttemptListener;
-  readonly #guard: SeriesGuard;
+  readonly #guard: StepGuard;
 
   /**
    * Wraps a listener.
@@ -22,7 +22,7 @@
    * @param listener - listener of all attempts of one request
    * @param guard - ends the request if the listener throws
    */
-  constructor(listener: AttemptListener, guard: SeriesGuard) {
+  constructor(listener: AttemptListener, guard: StepGuard) {
     super();
     this.#listener = listener;
     this.#guard = guard;
--- a/packages/entry/src/serving/series_attempt.ts
+++ b/packages/entry/src/serving/series_attempt.ts
@@ -12,14 +12,14 @@
   SeriesDependencies,
 } from "./response_receiver.ts";
 import type { RunningAttempt } from "./running_attempts.ts";
-import type { SeriesGuard } from "./series_guard.ts";
+import type { StepGuard } from "./step_guard.ts";
 
 /** What an attempt is opened with. */
 export interface SeriesAttemptOptions {
   readonly dependencies: SeriesDependencies;
   readonly request: OutboundRequest;
   readonly listener: AttemptListener;
-  readonly guard: SeriesGuard;
+  readonly guard: StepGuard;
   /** Number of this attempt, from 1. */
   readonly number: number;
   /** Attempts that were sent before. */
@@ -58,7 +58,7 @@
  * @param placement - the slot
  * @param guard - reports exceptions
  */
-export function returnSlot(placement: Placement, guard: SeriesGuard): void {
+export function returnSlot(placement: Placement, guard: StepGuard): void {
   guard.offer(() => {
     placement.complete(UNUSED_SAMPLE);
   });
@@ -75,7 +75,7 @@
 export function completeAttempt(
   { span, status, placement, record }: RunningAttempt,
   sample: AttemptSample,
-  guard: SeriesGuard,
+  guard: StepGuard,
 ): void {
   guard.offer(() => {
     span?.close(status);
@@ -104,7 +104,12 @@
   const attempt = new BackendAttempt(
     { ...message, verifyServer: placement.verifyServer },
     openAttemptConnection(dependencies, placement),
-    { clock: ports.clock, loop: ports.loop, listener },
+    {
+      clock: ports.clock,
+      loop: ports.loop,
+      exceptions: ports.exceptions,
+      listener,
+    },
   );
   return { attempt, span };
 }
--- a/packages/entry/src/serving/unsized_body.ts
+++ b/packages/entry/src/serving/unsized_body.ts
@@ -7,6 +7,7 @@
 import { ReadFlow, type ReadFlowOptions } from "./read_flow.ts";
 import { SecondResponseDetector } from "./second_response_detector.ts";
 import { ServerWitness } from "./server_witness.ts";
+import type { StepGuard } from "./step_guard.ts";
 
 /** Shortest time in which a server's process ends and another one listens. */
 const MIN_RESTART_MS = 500;
@@ -19,6 +20,8 @@
 export interface UnsizedBodyOptions extends ReadFlowOptions {
   /** Monotonic time at which the request was sent, in milliseconds. */
   readonly sentAtMs: number;
+  /** Runs the steps that the body takes at a time of its own. */
+  readonly guard: StepGuard;
 }
 
 /**
@@ -31,6 +34,7 @@
   readonly #detector: SecondResponseDetector;
   readonly #reads: ReadFlow;
   readonly #clock: Clock;
+  readonly #guard: StepGuard;
   #witness: ServerWitness | undefined;
   #witnessTimer: NodeJS.Timeout | undefined;
   #unreadMs = 0;
@@ -54,6 +58,7 @@
   ) {
     this.#connection = connection;
     this.#clock = options.clock;
+    this.#guard = options.guard;
     this.#reads = new ReadFlow(options.sentAtMs, options);
     this.#reads.observeRead();
     this.#request = request;
@@ -164,7 +169,9 @@
   #scheduleWitness(): void {
     if (this.#request.verifyServer !== undefined && !this.#witness) {
       this.#witnessTimer ??= setTimeout(() => {
-        this.#witness = new ServerWitness(this.#connection.target, this.#clock);
+        this.#witness = this.#guard.offer(() =>
+          new ServerWitness(this.#connection.target, this.#clock)
+        );
       }, WITNESS_DELAY_MS);
     }
   }
