fix: an exception while a response is passed on ends only that request

What callers saw: of a request that another VM ran (the product's own path; the platform has none), an exception left the caller without an answer until the deadline, and was not reported.

Cause: PeerForwarder listened to its attempt without a guard.

Change: the same guard as for other requests: 503 "unknown" if the request may have been sent, "not run" otherwise, a broken connection if its response has begun.

Red before: forwarding_exceptions_test, 2 of 2. After: 2 of 2.

--- a/packages/entry/src/serving/peer_forwarder.ts
+++ b/packages/entry/src/serving/peer_forwarder.ts
@@ -3,6 +3,7 @@
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 
 import { HEADER, isHopByHop } from "../dialect/header_names.ts";
+import { EXCEPTION_SOURCE } from "../telemetry/contained_exceptions.ts";
 import type { HopSpan } from "../telemetry/span_recorder.ts";
 import {
   type AttemptFailure,
@@ -15,9 +16,11 @@
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { PresentedKey } from "./caller_key.ts";
 import { ExchangeReceiver } from "./exchange_receiver.ts";
+import { GuardedListener } from "./guarded_listener.ts";
 import { refuseNotRun, refuseUnknown } from "./refusal.ts";
 import type { OutboundRequest } from "./response_receiver.ts";
 import type { ServingPorts } from "./serving_ports.ts";
+import { StepGuard } from "./step_guard.ts";
 
 /** Dependencies of a forwarded request. */
 export interface PeerForwarderOptions {
@@ -38,9 +41,12 @@
   readonly #request: OutboundRequest;
   readonly #options: PeerForwarderOptions;
   readonly #receiver: ExchangeReceiver;
+  readonly #guard: StepGuard;
+  readonly #listener: GuardedListener;
   #attempt: BackendAttempt | undefined;
   #span: HopSpan | undefined;
   #hasHead = false;
+  #hasEnded = false;
 
   /**
    * Prepares to forward a request; nothing is sent before {@link start}.
@@ -63,6 +69,14 @@
       },
       selectHeaders: selectPeerHeaders,
     });
+    this.#guard = new StepGuard({
+      exceptions: options.ports.exceptions,
+      source: EXCEPTION_SOURCE.caller,
+      abort: () => {
+        this.#abort(exchange);
+      },
+    });
+    this.#listener = new GuardedListener(this, this.#guard);
   }
 
   /**
@@ -81,7 +95,8 @@
    */
   start(to: SocketAddress): void {
     const { context, body } = this.#request;
-    this.#span = this.#options.ports.spans?.open(
+    const { clock, exceptions, spans } = this.#options.ports;
+    this.#span = spans?.open(
       "peer",
       this.#request.traceparent,
       {
@@ -104,19 +119,19 @@
         mayDispatch: undefined,
       },
       this.#options.connections.acquire(to),
-      { clock: this.#options.ports.clock, listener: this },
+      { clock, exceptions, listener: this.#listener },
     );
     this.#attempt.start();
   }
 
   /** Cancels the request because its deadline has passed. */
   expire(): void {
-    this.#attempt?.cancel("timed-out");
+    this.#guard.run(() => this.#attempt?.cancel("timed-out"));
   }
 
   /** Continues a response that was paused for a slow caller. */
   resume(): void {
-    this.#attempt?.resume();
+    this.#guard.run(() => this.#attempt?.resume());
   }
 
   override receiveHead(_attempt: BackendAttempt, head: ResponseHead): void {
@@ -139,6 +154,9 @@
     _attempt: BackendAttempt,
     { outcome, mayHaveRun }: AttemptFailure,
   ): void {
+    if (this.#hasEnded) {
+      return;
+    }
     if (this.#hasHead) {
       this.#receiver.receiveCut();
       return;
@@ -149,8 +167,20 @@
     );
   }
 
+  // What was known of the attempt may have been lost with the exception.
+  #abort(exchange: CallerExchange): void {
+    const mayHaveRun = this.#attempt?.mayHaveRun === true;
+    this.#complete();
+    this.#guard.run(() => this.#attempt?.cancel("cancelled"));
+    exchange.abort((mayHaveRun ? refuseUnknown : refuseNotRun)("vm-busy"));
+  }
+
   #complete(): void {
-    this.#span?.close(this.status);
+    if (this.#hasEnded) {
+      return;
+    }
+    this.#hasEnded = true;
+    this.#guard.offer(() => this.#span?.close(this.status));
     this.#options.complete();
   }
 
