fix: a copied refusal without a name is not believed on the product's path

What callers saw (product's own path, by test): on a connection that had brought a response with the attempt's name, a 503 "not run" without one was believed for the next request: its caller heard "not run", whatever the server did then.

Cause: servers need not name the attempt there, so that a response without a name counted as matched on every connection.

Ruled out: refusing every unnamed response on such a connection; a server may name some and not others, and only "not run" is a promise.

Change: a connection that has brought a name believes a "not run" only with one; otherwise the attempt fails as malformed (502 "unknown") and the connection is closed. Where no response was named, nothing changes.

--- a/packages/entry/src/fakes/backend_exchange.ts
+++ b/packages/entry/src/fakes/backend_exchange.ts
@@ -6,7 +6,10 @@
   type AttemptFailure,
   AttemptListener,
 } from "../serving/attempt_listener.ts";
-import type { AttemptRequest } from "../serving/attempt_message.ts";
+import type {
+  AttemptRequest,
+  ResponseIdentity,
+} from "../serving/attempt_message.ts";
 import { BackendAttempt } from "../serving/backend_attempt.ts";
 import type { BackendConnection } from "../serving/backend_connection.ts";
 import { BackendConnectionPool } from "../serving/backend_connection_pool.ts";
@@ -67,6 +70,8 @@
   readonly timeoutMs?: number | undefined;
   /** Finds out whether the server still runs; unknown by default. */
   readonly verifyServer?: () => Promise<boolean>;
+  /** Recognizes a refusal; none by default. */
+  readonly isRefusal?: NonNullable<ResponseIdentity["isRefusal"]>;
   /** What differs from a request that is sent as it is. */
   readonly request?: Partial<AttemptRequest>;
   /** Receives what the attempts' steps throw; not reported by default. */
@@ -155,6 +160,7 @@
         id,
         readId: ({ id }) => id?.toString(),
         isAlwaysNamed: false,
+        isRefusal: options.isRefusal ?? ((): boolean => false),
       },
       isProven: () => true,
       mayEndWithConnection: true,
--- a/packages/entry/src/serving/attempt_message.ts
+++ b/packages/entry/src/serving/attempt_message.ts
@@ -38,6 +38,11 @@
    * to any of the requests that its connection has carried.
    */
   readonly isAlwaysNamed: boolean;
+  /**
+   * Recognizes a response that states that the request was not run; none if absent.
+   * On a connection that has brought a named response, it has to name its request.
+   */
+  readonly isRefusal?: (head: ResponseHead) => boolean;
 }
 
 /** What a response that arrives for an attempt answers. */
--- a/packages/entry/src/serving/attempt_request.ts
+++ b/packages/entry/src/serving/attempt_request.ts
@@ -1,6 +1,7 @@
 /** Builds the HTTP request of one attempt at a backend server. */
 
 import { HEADER } from "../dialect/header_names.ts";
+import { isCertainlyNotRun } from "../dialect/response_classification.ts";
 import type { AttemptDetails } from "../dialect/serving_dialect.ts";
 import type { ResponseHead } from "./attempt_listener.ts";
 import type { AttemptRequest } from "./attempt_message.ts";
@@ -47,6 +48,7 @@
       id: attemptId,
       readId: readAttemptId,
       isAlwaysNamed: false,
+      isRefusal: isCertainlyNotRun,
     },
     mayEndWithConnection: false,
     isProven: () => true,
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -216,17 +216,19 @@
     }
     const isDelimited = !hasUnknownCoding(headers) &&
       (this.#unsizedBody === undefined || request.mayEndWithConnection);
+    const head = { status, headers };
+    const isNamed = this.#connection.checkNamed(request.identity, head);
     const isProven = !this.#isSuccess ||
-      request.isProven({ status, headers });
+      request.isProven(head);
     if (
       owner === RESPONSE_OWNER.other || !isDelimited || !isProven ||
-      this.#hasHead
+      !isNamed || this.#hasHead
     ) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
       return;
     }
     this.#hasHead = true;
-    this.#listener.receiveHead(this, { status, headers });
+    this.#listener.receiveHead(this, head);
   }
 
   /**
--- a/packages/entry/src/serving/backend_connection.ts
+++ b/packages/entry/src/serving/backend_connection.ts
@@ -5,6 +5,9 @@
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import type { Client, Dispatcher } from "undici";
 
+import type { ResponseHead } from "./attempt_listener.ts";
+import type { ResponseIdentity } from "./attempt_message.ts";
+
 /** Earlier requests of a connection of which a copy of the response is expected. */
 const MAX_ANSWERED_IDS = 8;
 /** A response that is read and left, and the one behind it. */
@@ -46,6 +49,7 @@
   /** True if the connection sends no further request. */
   #isReceivingOnly = false;
   #isReadingStopped = false;
+  #hasNamed = false;
   /** Monotonic time of the last release, in milliseconds. */
   idleSinceMs = 0;
   readonly #owner: ConnectionOwner;
@@ -87,6 +91,20 @@
     this.#owner.release(this);
   }
 
+  /**
+   * Checks whether a response may be believed that names no request. A refusal may
+   * be a copy of an earlier one that was named.
+   *
+   * @param identity - identifier that the response should bear
+   * @param head - its status and headers
+   * @returns false for such a refusal if an earlier response was named
+   */
+  checkNamed(identity: ResponseIdentity, head: ResponseHead): boolean {
+    const isNamed = identity.readId(head.headers) !== undefined;
+    this.#hasNamed ||= isNamed;
+    return isNamed || !this.#hasNamed || identity.isRefusal?.(head) !== true;
+  }
+
   /**
    * Checks whether the server sent bytes that belong to no request.
    *
