fix: a refused claim that the log brings again no longer makes its key unknown

Callers saw: 503 not-run ("claim-refused", the standby did not answer in 400 ms), then 409 unknown when they sent the same key again to the same holder, though nothing had run and the holder had not changed.

Cause: the holder ends a refused claim as not run, which frees the key, and writes claim and end to the log in groups. When it reads its own stream (every 5 s), the claim may be there before its end. The table then took it for a new open claim and answered "unknown" until the end was read too. The same at a standby that learns the end before the log brings the claim.

Ruled out: a lost claim (the record in force had unknownUntilMs 0), another holder (epoch and holder were the same from 2 s before to 2 s after).

Change: the table remembers which claims did not run, the last 4,096 of a shard, and ignores them when they arrive again. Forgetting one only brings the former answer back.

Red before (claim_table_test): "frees a key that did not run, known after its claim" and "known before its claim": received outcome-unknown, expected claim.

--- a/packages/core/src/claims/claim_table.ts
+++ b/packages/core/src/claims/claim_table.ts
@@ -46,6 +46,8 @@
 /** Memory used by a cached response in addition to its strings, in bytes. */
 const RESPONSE_OVERHEAD_BYTES = 500;
 const KEY_SEPARATOR = "\n";
+/** Claims that did not run, which the log may still bring: those of seconds. */
+const MAX_NOT_RUN_CLAIMS = 4_096;
 
 /**
  * Applies claim items and decides on requests. When stored responses exceed
@@ -55,6 +57,7 @@
 export class ClaimTable {
   readonly #entries = new Map<string, ClaimEntry>();
   readonly #responses: LRUCache<string, StoredResponse>;
+  readonly #notRunClaims = new Set<string>();
   readonly #retentionMs: number;
 
   /**
@@ -80,11 +83,18 @@
   }
 
   /**
-   * Applies one claim item to the entry of its key.
+   * Applies one claim item to the entry of its key. A claim that is known not
+   * to have run has no effect when it arrives again, as it does from the log.
    *
    * @param item - a claim or the end of one
    */
   apply(item: ClaimItem): void {
+    if (item.kind === "claimed" && this.#notRunClaims.has(item.claimId)) {
+      return;
+    }
+    if (item.kind === "settled" && item.outcome.kind === "not-run") {
+      this.#addNotRun(item.claimId);
+    }
     const name = formatKey(item);
     const before = this.#entries.get(name);
     const after = foldClaimItem(before, item);
@@ -144,6 +154,14 @@
     );
   }
 
+  #addNotRun(claimId: string): void {
+    this.#notRunClaims.add(claimId);
+    if (this.#notRunClaims.size > MAX_NOT_RUN_CLAIMS) {
+      const [oldest = claimId] = this.#notRunClaims;
+      this.#notRunClaims.delete(oldest);
+    }
+  }
+
   #listEntryItems(key: ClaimKey, entry: ClaimEntry): readonly ClaimItem[] {
     const { ended } = entry;
     const claimIds = ended === undefined ? entry.openClaimIds : [ended.claimId];
--- a/packages/core/src/claims/claim_table_test.ts
+++ b/packages/core/src/claims/claim_table_test.ts
@@ -39,6 +39,11 @@
   ];
 }
 
+function makeNotRun({ claimId, team, idempotencyKey }: ClaimItem): ClaimItem {
+  const outcome = { kind: "not-run" } as const;
+  return { kind: "settled", claimId, team, idempotencyKey, outcome };
+}
+
 function decide(table: ClaimTable, index: number): unknown {
   return table.decide({
     key: { team: TEAM, idempotencyKey: `key\t${index}` },
@@ -96,4 +101,33 @@
     table.expire(RETENTION_MS + 1);
     expect(table.size).toBe(0);
   });
+
+  // The log brings a claim again, seconds after its end became known here.
+  it.each([
+    ["after", ["claimed", "not-run", "claimed"]],
+    ["before", ["not-run", "claimed"]],
+  ])("frees a key that did not run, known %s its claim", (_, order) => {
+    const table = makeTable();
+    const [claimed, settled] = makeItems(1, "");
+    for (const kind of order) {
+      const item = kind === "claimed" ? claimed : settled;
+      if (item !== undefined) {
+        table.apply(kind === "claimed" ? item : makeNotRun(item));
+      }
+    }
+    expect(decide(table, 1)).toEqual({ kind: "claim", supersedes: undefined });
+    expect(table.size).toBe(0);
+  });
+
+  it("keeps another claim of a key of which one claim did not run", () => {
+    const table = makeTable();
+    const [claimed, settled] = makeItems(1, "");
+    if (claimed !== undefined && settled !== undefined) {
+      table.apply(claimed);
+      table.apply({ ...claimed, claimId: "other" });
+      table.apply(makeNotRun(settled));
+      table.apply(claimed);
+    }
+    expect(decide(table, 1)).toEqual({ kind: "outcome-unknown" });
+  });
 });
