fix: a request whose claim came after its deadline is not sent any more

Callers saw: 504 unknown for requests that had not been sent when their time was up, where 504 not-run (send again) was true until then.

Cause: a new holder without a standby keeps each claim in the log first. While it records the takeover of all its shards that took 7 to 16 s, longer than the requests' time. When the claims were kept, the requests were sent at once, and the timer for the time that was over fired right behind: "sent, hence unknown". The same for a request that is passed on late to another holder.

Ruled out: servers that did not answer (20 ms each); a VM that was stopped (the VM that answered 504 held the shard before, meanwhile and after).

Change: nothing is sent after the deadline; the claim ends as not run and the key is free.

--- a/packages/entry/src/serving/claimed_request_handler.ts
+++ b/packages/entry/src/serving/claimed_request_handler.ts
@@ -219,7 +219,12 @@
       exchange.writer.setDrainListener(() => {
         series.resume();
       });
-      series.start();
+      // A claim may take longer than the request's time, as with a slow log.
+      if (this.#readRemainingMs(admitted) > 0) {
+        series.start();
+      } else {
+        series.expire();
+      }
     });
   }
 
@@ -233,6 +238,10 @@
       exchange.refuse(refuseNotRun("not-holder"));
       return Promise.resolve();
     }
+    if (this.#readRemainingMs(admitted) <= 0) {
+      exchange.refuse(refuseNotRun("deadline-passed"));
+      return Promise.resolve();
+    }
     record.passedOnTo = `${to.host}:${to.port}`;
     return new Promise((resolve) => {
       const forwarder = new PeerForwarder(
