fix: a drained holder that no VM answers leaves its shards to a standby

Callers saw: 503 during the drain of a holder that had taken its shards over by a handover and had no standby yet, then 409 unknown for every new key of these shards for the resend horizon (1 h), though no claim was lost.

Cause: such a holder asks one VM after another for a promise (400 ms each, 5 s until it asks the same again). Beside load none answers in time. When its drain ends it is dropped, and the next holder finds neither holder nor standby, so it claims the shard as one that may miss claims.

Ruled out, as another way: trusting the record without a standby. Without one the holder may keep claims off the log while the log is away.

Change: after 5 s of a drain (of 10 s) the holder names a standby that has not answered, behind its claims in the log. As before it may not act without that VM's promise, so the last seconds are refused as not run. A VM that hears that it was named standby reads the shard; until now only the holder's next message made it do so.

Red before (virtual_fleet_test): "runs requests after a drained holder reached no other VM": received ran, replay, outcome-unknown; expected ran, replay, ran.

--- a/packages/entry/src/components/ownership/shard_scheduler.ts
+++ b/packages/entry/src/components/ownership/shard_scheduler.ts
@@ -34,6 +34,8 @@
 const DRAIN_POLL_MS = 50;
 /** Polls after which a drain gives up: 10 s, besides the handovers' calls. */
 const MAX_DRAIN_POLLS = 200;
+/** Polls after which a drain names standbys that have not answered: 5 s. */
+const ANSWER_POLLS = 100;
 
 /** Dependencies of a {@link ShardScheduler}. */
 export interface ShardSchedulerOptions {
@@ -105,6 +107,9 @@
       if (!this.#hasRole() || this.#isOnlyMember()) {
         return;
       }
+      if (poll >= ANSWER_POLLS) {
+        await this.#setUnheardStandbys();
+      }
       await waitFor(this.#options.timers, DRAIN_POLL_MS);
     }
   }
@@ -242,6 +247,20 @@
       if (shouldClaim && !this.#options.shards.has(shard)) {
         this.#options.openShard(shard);
       }
+      this.#pollAssigned(shard);
+    }
+  }
+
+  // A holder that could not reach this VM may have named it as standby.
+  #pollAssigned(shard: ShardId): void {
+    const { directory, fleet, log, openShard } = this.#options;
+    const fact = directory.findFact(shard);
+    if (
+      isSame(fact?.standby, fleet.readSelf().incarnation) &&
+      openShard(shard).replica.ownership.epoch < (fact?.epoch ?? 0) &&
+      !log.isUnavailable()
+    ) {
+      this.#pollRequests.add(shard);
     }
   }
 
@@ -336,6 +355,17 @@
     }
   }
 
+  // Without a standby, the next holder might miss claims and run no new key.
+  async #setUnheardStandbys(): Promise<void> {
+    const alone = this.#listHeld().filter(({ replica }) => {
+      const { standby } = replica.ownership;
+      return standby === undefined || isSame(standby, replica.self);
+    });
+    await Promise.all(
+      alone.map((shard) => this.#options.worker.setUnheardStandby(shard)),
+    );
+  }
+
   #listHeld(): readonly OwnedShard[] {
     return [...this.#options.shards.values()].filter((shard) =>
       isHolder(shard.replica)
--- a/packages/entry/src/components/ownership/shard_worker.ts
+++ b/packages/entry/src/components/ownership/shard_worker.ts
@@ -171,6 +171,23 @@
     }
   }
 
+  /**
+   * Names a standby that has made no promise, so that the claims of a shard have
+   * a successor. This VM may not act for the shard until that VM promises.
+   *
+   * @param shard - shard that this VM holds without a standby
+   */
+  async setUnheardStandby(shard: OwnedShard): Promise<void> {
+    if (await shard.poll()) {
+      const { fleet } = this.#options;
+      const standbyChoice = this.#chooseStandby(shard, (vm) =>
+        !fleet.isSuspected(vm)) ??
+        this.#chooseStandby(shard, () => true);
+      const context = this.#buildContext(shard);
+      await this.#appendRecord(shard, { ...context, standbyChoice });
+    }
+  }
+
   // The new standby's promise is requested before the record is appended, so
   // that the holder may act as soon as the record is in the log.
   async #prepareStandby(shard: OwnedShard): Promise<boolean> {
@@ -207,7 +224,6 @@
 
   #buildContext(shard: OwnedShard): PlanContext {
     const { clock, fleet, settings, preferredHolders } = this.#options;
-    const members = fleet.listMembers();
     return {
       nowMs: clock.readMonotonicMs(),
       wallMs: clock.readWallMs(),
@@ -217,7 +233,10 @@
         shard.shard,
         shard.replica.self,
       ),
-      standbyChoice: this.#chooseStandby(shard, members),
+      standbyChoice: this.#chooseStandby(
+        shard,
+        (vm) => this.#isStandbyAllowed(vm),
+      ),
       replaceAfterMs: settings.replaceAfterMs,
       resendHorizonMs: settings.resendHorizonMs,
       recordId: this.#buildRecordId(),
@@ -225,28 +244,31 @@
   }
 
   // Chooses the VM that would replace the current standby. Excludes the
-  // current pair and VMs that are excluded, suspected or leaving.
+  // current pair and VMs that are leaving.
   #chooseStandby(
     shard: OwnedShard,
-    members: readonly Vm[],
-  ): Vm["incarnation"] | undefined {
+    isAllowed: (vm: VmIncarnation) => boolean,
+  ): VmIncarnation | undefined {
+    const { fleet, isLeaving } = this.#options;
     const { ownership } = shard.replica;
-    const nowMs = this.#options.clock.readMonotonicMs();
     const chosen = chooseStandby(
-      this.#options.fleet.readSelf(),
-      members,
+      fleet.readSelf(),
+      fleet.listMembers(),
       ({ incarnation }) =>
-        (this.#excludedUntilMs.get(formatIncarnation(incarnation)) ??
-            -Infinity) <=
-          nowMs &&
         !isSame(incarnation, ownership.holder) &&
         !isSame(incarnation, ownership.standby) &&
-        !this.#options.fleet.isSuspected(incarnation) &&
-        !this.#options.isLeaving(incarnation),
+        !isLeaving(incarnation) && isAllowed(incarnation),
     );
     return chosen?.incarnation;
   }
 
+  #isStandbyAllowed(vm: VmIncarnation): boolean {
+    const { clock, fleet } = this.#options;
+    const untilMs = this.#excludedUntilMs.get(formatIncarnation(vm));
+    return (untilMs ?? -Infinity) <= clock.readMonotonicMs() &&
+      !fleet.isSuspected(vm);
+  }
+
   #buildRecordId(): string {
     this.#lastRecordNumber += 1;
     const { incarnation } = this.#options.fleet.readSelf();
--- a/packages/standins/src/soak/virtual_fleet_test.ts
+++ b/packages/standins/src/soak/virtual_fleet_test.ts
@@ -184,4 +184,38 @@
     expect(vm?.scheduler.isDead()).toBe(true);
     expect(fleet.listHolders("team")).toHaveLength(1);
   });
+
+  it("runs requests after a drained holder reached no other VM", async () => {
+    const fleet = await startFleet(4);
+    const holder = fleet.findVm(findHolderIndex(fleet));
+    const shard = findTeamShard(toId<TeamId>("team"), SHARDS);
+    const found = holder?.ownership.findOwnership(shard)?.standby;
+    const standby = fleet.vms.find((vm) => vm.vm === found);
+    if (holder === undefined || standby === undefined) {
+      throw new Error("The shard must have a holder and a standby.");
+    }
+    const others = fleet.vms.filter((vm) => vm !== holder && vm !== standby);
+    others.forEach((vm) => {
+      fleet.links.setCut(standby.name, vm.name, true);
+    });
+    fleet.drainVm(holder);
+    await fleet.advance(8_000);
+    expect(fleet.listHolders("team")).toEqual([standby.name]);
+    fleet.sendRequest(fleet.vms.indexOf(standby), "team", "a");
+    await fleet.advance(1_000);
+    fleet.drainVm(standby);
+    await fleet.advance(20_000);
+    expect(standby.scheduler.isDead()).toBe(true);
+    for (const key of ["a", "b"]) {
+      fleet.sendRequest(findHolderIndex(fleet), "team", key);
+      await fleet.advance(1_000);
+    }
+    expect(fleet.responses.map((response) => response.verdict)).toEqual([
+      "ran",
+      "replay",
+      "ran",
+    ]);
+    expect(fleet.countRuns("a")).toBe(1);
+    expect(fleet.violations).toEqual([]);
+  });
 });
