fix: a claim refused in a handover is known to the new holder before its caller

Callers saw: 503 not-run from a VM that was handing its shards over, then 409 unknown from the new holder for the same key 80 ms later, though nothing ran.

Cause: the claim had reached the standby, which is the new holder by then. That it did not run was sent to it only while the caller already had its refusal.

Refusals of a VM that still is the holder are as quick as before.

Red before (virtual_fleet_test): "runs a request again that a holder refused during its handover": received outcome-unknown, expected ran.

--- a/packages/entry/src/components/claims/claim_ledger.ts
+++ b/packages/entry/src/components/claims/claim_ledger.ts
@@ -150,11 +150,10 @@
       return;
     }
     const { maxStoredResponseBytes } = this.#options.ownership.settings;
-    this.#settleClaim(
+    await this.#settleClaim(
       running,
       convertSettlement(settlement, maxStoredResponseBytes),
     );
-    return Promise.resolve();
   }
 
   #findShard(team: TeamId): ShardId {
@@ -202,7 +201,7 @@
       const { claimId, team, idempotencyKey } = item;
       return { kind: "run", claim: { claimId, team, idempotencyKey } };
     }
-    this.#settleClaim(running, { kind: "not-run" });
+    await this.#settleClaim(running, { kind: "not-run" });
     return { kind: "refused", retryAfterMs: REFUSAL_RETRY_MS };
   }
 
@@ -229,7 +228,12 @@
     return running;
   }
 
-  #settleClaim(running: RunningClaim, outcome: ClaimOutcome): void {
+  // After a handover the caller of a request that did not run sends it to the new
+  // holder, so this waits until that one knows, for the time of one call.
+  async #settleClaim(
+    running: RunningClaim,
+    outcome: ClaimOutcome,
+  ): Promise<void> {
     const { item, shard } = running;
     const { claimId, team, idempotencyKey } = item;
     const settled: ClaimItem = {
@@ -242,8 +246,16 @@
     shard.addItems([settled]);
     this.#running.delete(claimId);
     running.notifyEnded();
-    for (const peer of this.#listOutcomeReceivers(shard)) {
-      void this.#replication.send(shard, peer, [settled]);
+    const sent = Promise.all(
+      this.#listOutcomeReceivers(shard).map((peer) =>
+        this.#replication.send(shard, peer, [settled])
+      ),
+    );
+    if (
+      outcome.kind === "not-run" &&
+      !this.#options.ownership.isOwnHolder(shard.shard)
+    ) {
+      await sent;
     }
   }
 
--- a/packages/standins/src/soak/virtual_fleet_test.ts
+++ b/packages/standins/src/soak/virtual_fleet_test.ts
@@ -218,4 +218,32 @@
     expect(fleet.countRuns("a")).toBe(1);
     expect(fleet.violations).toEqual([]);
   });
+
+  it("runs a request again that a holder refused during its handover", async () => {
+    const fleet = await startFleet(3);
+    const index = findHolderIndex(fleet);
+    const holder = fleet.findVm(index);
+    const shard = findTeamShard(toId<TeamId>("team"), SHARDS);
+    const next = holder?.ownership.findOwnership(shard)?.standby?.incarnation
+      .vm;
+    if (holder === undefined || next === undefined) {
+      throw new Error("The shard must have a holder and a standby.");
+    }
+    fleet.links.setDelay(next, holder.name, 5);
+    fleet.sendRequest(index, "team", "a");
+    await fleet.advance(1);
+    fleet.drainVm(holder);
+    await fleet.advance(1);
+    expect(fleet.listHolders("team")).toEqual([next]);
+    fleet.links.setDelay(holder.name, next, 50);
+    for (let ms = 0; ms < 1_000 && fleet.responses.length === 0; ms += 1) {
+      await fleet.advance(1);
+    }
+    expect(fleet.responses).toEqual([{ key: "a", verdict: "refused" }]);
+    fleet.sendRequest(findHolderIndex(fleet), "team", "a");
+    await fleet.advance(1_000);
+    expect(fleet.responses.at(-1)).toEqual({ key: "a", verdict: "ran" });
+    expect(fleet.countRuns("a")).toBe(1);
+    expect(fleet.violations).toEqual([]);
+  });
 });
--- a/packages/standins/src/soak/virtual_links.ts
+++ b/packages/standins/src/soak/virtual_links.ts
@@ -34,6 +34,7 @@
   readonly #timers: FakeClock;
   readonly #endpoints = new Map<string, VirtualEndpoint>();
   readonly #cuts = new Set<string>();
+  readonly #delaysMs = new Map<string, number>();
 
   /**
    * Creates links that are all intact.
@@ -68,6 +69,17 @@
     }
   }
 
+  /**
+   * Changes the delay of one direction of the link between two VMs.
+   *
+   * @param from - name of the sender
+   * @param to - name of the receiver
+   * @param delayMs - delay of messages sent from now on, in virtual milliseconds
+   */
+  setDelay(from: string, to: string, delayMs: number): void {
+    this.#delaysMs.set(`${from}>${to}`, delayMs);
+  }
+
   /** Restores all links. */
   clear(): void {
     this.#cuts.clear();
@@ -130,7 +142,8 @@
     if (this.#cuts.has(`${from.name}>${to.name}`)) {
       return;
     }
-    this.#timers.schedule(LINK_DELAY_MS, () => {
+    const delayMs = this.#delaysMs.get(`${from.name}>${to.name}`);
+    this.#timers.schedule(delayMs ?? LINK_DELAY_MS, () => {
       to.scheduler.execute(() => {
         void run();
       });
