fix: the end of a claim reaches the log when its holder loses the shard

Callers saw: 503 not-run from a holder that could not reach its standby, then, once the standby had taken over, 409 unknown for the same key for good, though it never ran.

Cause: claims under way when the holder's lease ran out were in the log, but that they did not run was not: a VM writes claims only for shards that it holds, its message to the new holder went over the broken link, and a new holder skipped everything that a former one had written late.

Change: a VM that may not act any more answers "not run" once another VM has confirmed it or, failing that, the log has it. Ends of claims count whoever writes them; late claims are skipped as before. Before a new holder answers "unknown" it reads the log once more, unless the log is away.

--- a/packages/entry/src/components/claims/claim_ledger.ts
+++ b/packages/entry/src/components/claims/claim_ledger.ts
@@ -112,6 +112,7 @@
   override async claim(request: ClaimRequest): Promise<ClaimVerdict> {
     const id = this.#findShard(request.team);
     const { ownership, clock } = this.#options;
+    let hasPolled = ownership.log.isUnavailable();
     for (;;) {
       if (!ownership.mayAct(id)) {
         return this.#refuse(request);
@@ -126,7 +127,13 @@
         case "conflict":
           return { kind: "conflict" };
         case "outcome-unknown":
-          return { kind: "outcome-unknown" };
+          if (hasPolled) {
+            return { kind: "outcome-unknown" };
+          }
+          // The former holder may have written the end of its claim since.
+          await shard.poll();
+          hasPolled = true;
+          break;
         case "wait":
           await this.#waitForEnd(decision.claimId, request);
       }
@@ -229,7 +236,7 @@
   }
 
   // After a handover the caller of a request that did not run sends it to the new
-  // holder, so this waits until that one knows, for the time of one call.
+  // holder, so this waits until that one knows or can read it from the log.
   async #settleClaim(
     running: RunningClaim,
     outcome: ClaimOutcome,
@@ -253,9 +260,10 @@
     );
     if (
       outcome.kind === "not-run" &&
-      !this.#options.ownership.isOwnHolder(shard.shard)
+      !this.#options.ownership.mayAct(shard.shard)
     ) {
-      await sent;
+      const isKnown = (await sent).some(Boolean);
+      await (isKnown || shard.flushClaims());
     }
   }
 
--- a/packages/entry/src/components/ownership/owned_shard.ts
+++ b/packages/entry/src/components/ownership/owned_shard.ts
@@ -317,16 +317,19 @@
   }
 
   // Claims by a VM that is neither holder nor standby were appended after it
-  // lost the shard. Their requests were never dispatched, so they are skipped.
+  // lost the shard. Their requests were never dispatched, so they are skipped,
+  // unlike the ends of its earlier claims.
   #applyClaims(record: Extract<ShardRecord, { kind: "claims" }>): void {
     const { ownership } = this.replica;
-    if (ownership.isEpochKnown && !isPairMember(ownership, record.proposer)) {
-      return;
-    }
-    for (const item of record.items) {
+    const isLate = ownership.isEpochKnown &&
+      !isPairMember(ownership, record.proposer);
+    const items = isLate
+      ? record.items.filter((item) => item.kind === "settled")
+      : record.items;
+    for (const item of items) {
       this.claims.apply(item);
     }
-    this.#removeLogged(record.items);
+    this.#removeLogged(items);
   }
 
   async #runSerially<T>(run: () => Promise<T>): Promise<T> {
--- a/packages/standins/src/soak/virtual_fleet_test.ts
+++ b/packages/standins/src/soak/virtual_fleet_test.ts
@@ -246,4 +246,27 @@
     expect(fleet.countRuns("a")).toBe(1);
     expect(fleet.violations).toEqual([]);
   });
+
+  it("runs requests that a holder refused before its standby took over", async () => {
+    const fleet = await startFleet(4);
+    const index = findHolderIndex(fleet);
+    const holder = fleet.findVm(index);
+    const shard = findTeamShard(toId<TeamId>("team"), SHARDS);
+    const next = holder?.ownership.findOwnership(shard)?.standby?.incarnation
+      .vm;
+    if (holder === undefined || next === undefined) {
+      throw new Error("The shard must have a holder and a standby.");
+    }
+    fleet.links.setCut(holder.name, next, true);
+    const keys = Array.from({ length: 10 }, (_, number) => `key-${number}`);
+    for (let round = 0; round < 10; round += 1) {
+      for (const key of keys) {
+        fleet.sendRequest(index, "team", key);
+        await fleet.advance(50);
+      }
+    }
+    expect(fleet.listHolders("team")).toEqual([next]);
+    expect(keys.map((key) => fleet.countRuns(key))).toEqual(keys.map(() => 1));
+    expect(fleet.violations).toEqual([]);
+  });
 });
