--- a/packages/entry/src/components/claims/claim_ledger.ts
+++ b/packages/entry/src/components/claims/claim_ledger.ts
@@ -112,6 +112,7 @@
   override async claim(request: ClaimRequest): Promise<ClaimVerdict> {
     const id = this.#findShard(request.team);
     const { ownership, clock } = this.#options;
+    let hasPolled = ownership.log.isUnavailable();
     for (;;) {
       if (!ownership.mayAct(id)) {
         return this.#refuse(request);
@@ -126,7 +127,13 @@
         case "conflict":
           return { kind: "conflict" };
         case "outcome-unknown":
-          return { kind: "outcome-unknown" };
+          if (hasPolled) {
+            return { kind: "outcome-unknown" };
+          }
+          // The former holder may have written the end of its claim since.
+          await shard.poll();
+          hasPolled = true;
+          break;
         case "wait":
           await this.#waitForEnd(decision.claimId, request);
       }
@@ -150,11 +157,10 @@
       return;
     }
     const { maxStoredResponseBytes } = this.#options.ownership.settings;
-    this.#settleClaim(
+    await this.#settleClaim(
       running,
       convertSettlement(settlement, maxStoredResponseBytes),
     );
-    return Promise.resolve();
   }
 
   #findShard(team: TeamId): ShardId {
@@ -202,7 +208,7 @@
       const { claimId, team, idempotencyKey } = item;
       return { kind: "run", claim: { claimId, team, idempotencyKey } };
     }
-    this.#settleClaim(running, { kind: "not-run" });
+    await this.#settleClaim(running, { kind: "not-run" });
     return { kind: "refused", retryAfterMs: REFUSAL_RETRY_MS };
   }
 
@@ -229,7 +235,12 @@
     return running;
   }
 
-  #settleClaim(running: RunningClaim, outcome: ClaimOutcome): void {
+  // After a handover the caller of a request that did not run sends it to the new
+  // holder, so this waits until that one knows or can read it from the log.
+  async #settleClaim(
+    running: RunningClaim,
+    outcome: ClaimOutcome,
+  ): Promise<void> {
     const { item, shard } = running;
     const { claimId, team, idempotencyKey } = item;
     const settled: ClaimItem = {
@@ -242,8 +253,17 @@
     shard.addItems([settled]);
     this.#running.delete(claimId);
     running.notifyEnded();
-    for (const peer of this.#listOutcomeReceivers(shard)) {
-      void this.#replication.send(shard, peer, [settled]);
+    const sent = Promise.all(
+      this.#listOutcomeReceivers(shard).map((peer) =>
+        this.#replication.send(shard, peer, [settled])
+      ),
+    );
+    if (
+      outcome.kind === "not-run" &&
+      !this.#options.ownership.mayAct(shard.shard)
+    ) {
+      const isKnown = (await sent).some(Boolean);
+      await (isKnown || shard.flushClaims());
     }
   }
 
--- a/packages/standins/src/soak/virtual_fleet_test.ts
+++ b/packages/standins/src/soak/virtual_fleet_test.ts
@@ -184,4 +184,89 @@
     expect(vm?.scheduler.isDead()).toBe(true);
     expect(fleet.listHolders("team")).toHaveLength(1);
   });
+
+  it("runs requests after a drained holder reached no other VM", async () => {
+    const fleet = await startFleet(4);
+    const holder = fleet.findVm(findHolderIndex(fleet));
+    const shard = findTeamShard(toId<TeamId>("team"), SHARDS);
+    const found = holder?.ownership.findOwnership(shard)?.standby;
+    const standby = fleet.vms.find((vm) => vm.vm === found);
+    if (holder === undefined || standby === undefined) {
+      throw new Error("The shard must have a holder and a standby.");
+    }
+    const others = fleet.vms.filter((vm) => vm !== holder && vm !== standby);
+    others.forEach((vm) => {
+      fleet.links.setCut(standby.name, vm.name, true);
+    });
+    fleet.drainVm(holder);
+    await fleet.advance(8_000);
+    expect(fleet.listHolders("team")).toEqual([standby.name]);
+    fleet.sendRequest(fleet.vms.indexOf(standby), "team", "a");
+    await fleet.advance(1_000);
+    fleet.drainVm(standby);
+    await fleet.advance(20_000);
+    expect(standby.scheduler.isDead()).toBe(true);
+    for (const key of ["a", "b"]) {
+      fleet.sendRequest(findHolderIndex(fleet), "team", key);
+      await fleet.advance(1_000);
+    }
+    expect(fleet.responses.map((response) => response.verdict)).toEqual([
+      "ran",
+      "replay",
+      "ran",
+    ]);
+    expect(fleet.countRuns("a")).toBe(1);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it("runs a request again that a holder refused during its handover", async () => {
+    const fleet = await startFleet(3);
+    const index = findHolderIndex(fleet);
+    const holder = fleet.findVm(index);
+    const shard = findTeamShard(toId<TeamId>("team"), SHARDS);
+    const next = holder?.ownership.findOwnership(shard)?.standby?.incarnation
+      .vm;
+    if (holder === undefined || next === undefined) {
+      throw new Error("The shard must have a holder and a standby.");
+    }
+    fleet.links.setDelay(next, holder.name, 5);
+    fleet.sendRequest(index, "team", "a");
+    await fleet.advance(1);
+    fleet.drainVm(holder);
+    await fleet.advance(1);
+    expect(fleet.listHolders("team")).toEqual([next]);
+    fleet.links.setDelay(holder.name, next, 50);
+    for (let ms = 0; ms < 1_000 && fleet.responses.length === 0; ms += 1) {
+      await fleet.advance(1);
+    }
+    expect(fleet.responses).toEqual([{ key: "a", verdict: "refused" }]);
+    fleet.sendRequest(findHolderIndex(fleet), "team", "a");
+    await fleet.advance(1_000);
+    expect(fleet.responses.at(-1)).toEqual({ key: "a", verdict: "ran" });
+    expect(fleet.countRuns("a")).toBe(1);
+    expect(fleet.violations).toEqual([]);
+  });
+
+  it("runs requests that a holder refused before its standby took over", async () => {
+    const fleet = await startFleet(4);
+    const index = findHolderIndex(fleet);
+    const holder = fleet.findVm(index);
+    const shard = findTeamShard(toId<TeamId>("team"), SHARDS);
+    const next = holder?.ownership.findOwnership(shard)?.standby?.incarnation
+      .vm;
+    if (holder === undefined || next === undefined) {
+      throw new Error("The shard must have a holder and a standby.");
+    }
+    fleet.links.setCut(holder.name, next, true);
+    const keys = Array.from({ length: 10 }, (_, number) => `key-${number}`);
+    for (let round = 0; round < 10; round += 1) {
+      for (const key of keys) {
+        fleet.sendRequest(index, "team", key);
+        await fleet.advance(50);
+      }
+    }
+    expect(fleet.listHolders("team")).toEqual([next]);
+    expect(keys.map((key) => fleet.countRuns(key))).toEqual(keys.map(() => 1));
+    expect(fleet.violations).toEqual([]);
+  });
 });
