--- a/packages/entry/src/fleet/recorded_messages_test.ts
+++ b/packages/entry/src/fleet/recorded_messages_test.ts
@@ -27,7 +27,14 @@
 } from "../fakes/recorded_exchange.ts";
 
 const DIRECTORY = path.join(__dirname, "recorded");
-const BUILDS = ["e3ec2a7", "785d524", "d538b51", "0939c3e", "a65711d"];
+const BUILDS = [
+  "71d65e5",
+  "e3ec2a7",
+  "785d524",
+  "d538b51",
+  "0939c3e",
+  "a65711d",
+];
 /** Names the file that is written; without it nothing is. */
 const RECORDED_BUILD = process.env["LIMPETFORD_RECORDED_BUILD"];
 const SCHEMAS = {
