fix: a VM that has just started refuses no popular request that others still let run

What callers saw: a popular request that crashes no server was refused for good (503, quarantined) after faults. No log of that run is left; that this is its cause is likely, not shown.

Cause: two crashes in a row quarantine a request, three while other servers crash without it. Of those crashes only notices tell, which are sent once and are kept nowhere. A VM that started after them (planned stop, kill, power loss), was frozen or cut off gets the suspicion by exchange or store, knows no other crash, and quarantines the request by its two. The status rises and spreads, so the VMs that knew better refuse it too, and what never runs is never cleared.

Change: a run says if its VM saw other servers crash (wasAmidOthers), in memory, messages and on the store. Absent in records of earlier builds, which ignore it.

Ruled out: that a learned suspicion needs three crashes in any case. Its hold would end at other VMs before the news of the VM that decides, and each would crash a server.

What stays open: a VM that observes the second crash itself and has missed the other servers' crashes since the first one still counts two.

--- a/packages/core/src/quarantine/crash_spread_test.ts
+++ b/packages/core/src/quarantine/crash_spread_test.ts
@@ -11,11 +11,14 @@
 /** Time after which a VM that hears of no other reads and writes the store. */
 const ISOLATED_SYNC_MS = 2_000;
 const VM_COUNT = 6;
+/** Crashes in a row that don't yet quarantine while other servers crash. */
+const MAX_UNSERVED = 2;
 
 type Step =
   | { readonly kind: "send"; readonly vm: number }
   | { readonly kind: "serve"; readonly vm: number }
   | { readonly kind: "other-crash"; readonly vm: number }
+  | { readonly kind: "unserved-crash"; readonly vm: number }
   | { readonly kind: "restart"; readonly vm: number }
   | { readonly kind: "restart-all" }
   | { readonly kind: "cut"; readonly vm: number; readonly steps: number }
@@ -47,6 +50,25 @@
   ),
 });
 
+// Crashes by coincidence, after which no server serves the popular request for a
+// while, and VMs that start again or are cut off meanwhile.
+const coincidentStep: fc.Arbitrary<ScheduledStep> = fc.record({
+  waitMs: fc.integer({ min: 20, max: 800 }),
+  step: fc.oneof(
+    {
+      weight: 4,
+      arbitrary: fc.record({
+        kind: fc.constant("unserved-crash"),
+        vm: vmIndex,
+      }),
+    },
+    fc.record({ kind: fc.constant("serve"), vm: vmIndex }),
+    fc.record({ kind: fc.constant("restart"), vm: vmIndex }),
+    fc.record({ kind: fc.constant("restart-all") }),
+    fc.record({ kind: fc.constant("cut"), vm: vmIndex, steps }),
+  ),
+});
+
 // One VM: what it knows is lost when it restarts.
 class SimulatedVm {
   registry = new SuspicionRegistry();
@@ -84,6 +106,13 @@
         return;
       case "other-crash":
         this.#stopServerWithPopular(step.vm);
+        this.#getVm(step.vm).registry.recordServed(POPULAR, this.#nowMs);
+        return;
+      case "unserved-crash":
+        if (this.#countUnserved() < MAX_UNSERVED) {
+          this.#stopServerWithout(step.vm);
+          this.#stopServerWithPopular(step.vm);
+        }
         return;
       case "restart":
         this.#startAgain(step.vm);
@@ -140,8 +169,33 @@
     vm.registry.recordServed(POPULAR, this.#nowMs);
   }
 
-  // A server fails by itself while it runs the popular request, which the VM
-  // then serves elsewhere.
+  // Runs of the popular request that crashes ended since it was served last, as
+  // far as anybody knows.
+  #countUnserved(): number {
+    const registries = [this.#store, ...this.#vms.map((vm) => vm.registry)];
+    const known = registries.map((registry) => registry.find(POPULAR));
+    const ids = new Map<number, Set<string>>();
+    for (const suspicion of known.filter((one) => one !== undefined)) {
+      const { generation, runs } = suspicion;
+      const all = ids.get(generation) ?? new Set();
+      ids.set(generation, all);
+      runs.forEach(({ id }) => all.add(id));
+    }
+    return Math.max(0, ...[...ids.values()].map(({ size }) => size));
+  }
+
+  // VMs in touch hear of it, those that start later don't.
+  #stopServerWithout(index: number): void {
+    const { cutForSteps } = this.#getVm(index);
+    const inTouch = this.#vms.filter((vm, other) =>
+      other === index || (cutForSteps === 0 && vm.cutForSteps === 0)
+    );
+    for (const { registry } of inTouch) {
+      registry.recordServerCrash(`without-${this.#nowMs}`, this.#nowMs);
+    }
+  }
+
+  // A server fails by itself while it runs the popular request.
   #stopServerWithPopular(index: number): void {
     const vm = this.#getVm(index);
     vm.registry.recordCrash(
@@ -155,7 +209,6 @@
       }],
       this.#nowMs,
     );
-    vm.registry.recordServed(POPULAR, this.#nowMs);
   }
 
   #startAgain(index: number): void {
@@ -224,4 +277,20 @@
       { seed: 19, numRuns: 1_500 },
     );
   }, 240_000);
+
+  it("is told from a popular one that was there at two crashes among others", () => {
+    fc.assert(
+      fc.property(
+        fc.array(coincidentStep, { minLength: 5, maxLength: 40 }),
+        (schedule) => {
+          const fleet = new SimulatedFleet();
+          schedule.forEach((step) => {
+            fleet.run(step);
+          });
+          expect(fleet.popularRefusals).toBe(0);
+        },
+      ),
+      { seed: 20, numRuns: 1_000 },
+    );
+  });
 });
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -32,6 +32,12 @@
    * stopped work on it; absent in records of earlier versions.
    */
   readonly wasGivenUp?: boolean | undefined;
+  /**
+   * True if servers that had not run the request crashed shortly before, as far as
+   * the VM of this run knows; absent in records of earlier versions. A VM that
+   * learns of the run may have been down then.
+   */
+  readonly wasAmidOthers?: boolean | undefined;
 }
 
 /** Knowledge about one request, replicated between the VMs. */
--- a/packages/core/src/quarantine/suspicion_registry.ts
+++ b/packages/core/src/quarantine/suspicion_registry.ts
@@ -106,6 +106,8 @@
     for (const interrupted of runs) {
       const { fingerprint, id, sentAtMs, endedAtMs } = interrupted;
       const known = this.#suspicions.get(fingerprint);
+      const servers = known?.runs.map((run) => run.server) ?? [];
+      const wasAmidOthers = this.#hasOtherCrash([...servers, server], nowMs);
       const run = {
         id,
         server,
@@ -113,6 +115,7 @@
         crashedAtMs: endedAtMs,
         wasServerRunning: interrupted.wasServerRunning,
         ...interrupted.wasGivenUp === true ? { wasGivenUp: true } : {},
+        ...wasAmidOthers ? { wasAmidOthers } : {},
       };
       this.apply({
         fingerprint,
@@ -285,17 +288,22 @@
   }
 
   #countNeeded({ runs }: Suspicion, nowMs: number): number {
-    const hasOtherCrash = [...this.#crashedAtMs].some(([server, atMs]) =>
-      nowMs - atMs <= OTHER_CRASH_MS &&
-      !runs.some((run) => run.server === server)
-    );
-    const needed = hasOtherCrash
+    const servers = runs.map(({ server }) => server);
+    const isAmidOthers = this.#hasOtherCrash(servers, nowMs) ||
+      runs.some(({ wasAmidOthers }) => wasAmidOthers === true);
+    const needed = isAmidOthers
       ? CRASHES_TO_QUARANTINE_AMID_OTHERS
       : CRASHES_TO_QUARANTINE;
     const isWeak = runs.every(({ wasGivenUp }) => wasGivenUp === true);
     return isWeak ? needed + MORE_CRASHES_IF_GIVEN_UP : needed;
   }
 
+  #hasOtherCrash(servers: readonly string[], nowMs: number): boolean {
+    return [...this.#crashedAtMs].some(([server, atMs]) =>
+      nowMs - atMs <= OTHER_CRASH_MS && !servers.includes(server)
+    );
+  }
+
   #put(suspicion: Suspicion, nowMs: number): void {
     const { fingerprint } = suspicion;
     this.#remove(fingerprint);
--- a/packages/peer/src/fleet_sync.ts
+++ b/packages/peer/src/fleet_sync.ts
@@ -45,6 +45,11 @@
    * that run an earlier version.
    */
   readonly wasGivenUp?: boolean | undefined;
+  /**
+   * True if servers that had not run the request crashed shortly before; absent
+   * if not, and in messages of VMs that run an earlier version.
+   */
+  readonly wasAmidOthers?: boolean | undefined;
 }
 
 /** What the sender knows of a request that may crash servers. */
--- a/packages/peer/src/malformed_message_test.ts
+++ b/packages/peer/src/malformed_message_test.ts
@@ -73,6 +73,19 @@
       seenRevision: 0,
     },
   }],
+  ["a run of which it is unclear whether other servers crashed", {
+    ...MESSAGE,
+    suspicions: {
+      rows: [{
+        fingerprint: "f",
+        generation: 0,
+        status: "suspect",
+        runs: [{ id: "r", server: "i", ranMs: 1, ageMs: 1, wasAmidOthers: 0 }],
+      }],
+      revision: 1,
+      seenRevision: 0,
+    },
+  }],
   ["a configuration without routes", {
     ...MESSAGE,
     configuration: { version: 9 },
--- a/packages/peer/src/message_schemas.ts
+++ b/packages/peer/src/message_schemas.ts
@@ -95,6 +95,7 @@
     ageMs: number,
     wasServerRunning: z.boolean().optional(),
     wasGivenUp: z.boolean().optional(),
+    wasAmidOthers: z.boolean().optional(),
   })),
 }));
 const serverLimit = z.object({
--- a/packages/platform/src/store/suspicion_codec.ts
+++ b/packages/platform/src/store/suspicion_codec.ts
@@ -31,6 +31,7 @@
     crashedAtWallMs: z.number(),
     wasServerRunning: z.boolean().optional(),
     wasGivenUp: z.boolean().optional(),
+    wasAmidOthers: z.boolean().optional(),
   })),
   writtenAtMs: z.number(),
 });
--- a/packages/standins/src/platform/suspicion_store_test.ts
+++ b/packages/standins/src/platform/suspicion_store_test.ts
@@ -118,6 +118,16 @@
     await expectStatus(vm, "quarantined");
   });
 
+  it("keep that other servers crashed, of which a VM that starts can't know", async () => {
+    const vm = startVm(SUSPICION_READER.none);
+    vm.registry.recordCrash("other", [], vm.clock.readMonotonicMs());
+    vm.recordCrash("s1");
+    vm.clock.advance(600);
+    vm.recordCrash("s2");
+    vm.clock.advance(1_000);
+    await expectStatus(vm, "suspect");
+  });
+
   it("keep a single crash once it was not cleared for a second", async () => {
     const vm = startVm(SUSPICION_READER.none);
     vm.recordCrash("s1");
