fix: callers are not led away by what a VM reached before others lost the servers

What callers saw: all VMs lose the backend servers, and directories name other VMs than before, several in a second, though none of them reaches a server.

Cause: a VM counted as one that reaches the servers for three seconds after its last answer or connection. The leader with callers notices the loss first; VMs that had served or checked their links up to three seconds before were taken for better, led, noticed in their turn, and so on. From the logs (all cut at 53.925 s, links back 2.5 s before): vm-0 lost at 54.470, vm-3 leads at 54.485 and loses at 54.526, then vm-1, vm-4, vm-2 and vm-3 again by 55.3: 20 changes of leader in 0.9 s as the zone's VMs saw them. The same may happen at the first cut if leaders changed shortly before, as after a start on a busy machine.

Change: what a VM reached before the latest loss of another VM, as its receiver can date it, no longer counts for choosing leaders; such a VM checks its links when it hears of the loss. Forwarding goes to VMs as before.

The test's second cause, which is no fault of the program: on a busy machine (load 24) vm-2, a leader, was held up for 0.37 s, vm-0 logged it as peer-lost, and named vm-3 for its callers.

--- a/packages/core/src/reach/vm_reach_table.ts
+++ b/packages/core/src/reach/vm_reach_table.ts
@@ -9,7 +9,10 @@
 
 /** Whether a VM reaches the backend servers. */
 export const REACH = {
-  /** It has lately had an answer or a connection, and lost no service. */
+  /**
+   * It has lost no service, and has had an answer or a connection lately, and since
+   * any other VM lost a service.
+   */
   confirmed: "confirmed",
   unknown: "unknown",
   /** It can connect to no server of one service or more. */
@@ -31,6 +34,8 @@
 /** Keeps the latest report of each VM. */
 export class VmReachTable {
   readonly #reports = new Map<VmId, VmReachReport>();
+  /** When each VM that has lost a service said so first. */
+  readonly #lostSinceMs = new Map<VmId, number>();
 
   /**
    * Records a report unless a later one of the VM is known.
@@ -41,7 +46,7 @@
   record(vm: VmId, report: VmReachReport): void {
     const known = this.#reports.get(vm);
     if (known === undefined || known.knownAtMs <= report.knownAtMs) {
-      this.#reports.set(vm, report);
+      this.#put(vm, report);
     }
   }
 
@@ -57,7 +62,7 @@
       report.knownAtMs,
       this.#reports.get(vm)?.knownAtMs ?? -Infinity,
     );
-    this.#reports.set(vm, { ...report, knownAtMs });
+    this.#put(vm, { ...report, knownAtMs });
   }
 
   /**
@@ -82,8 +87,12 @@
     if (report === undefined) {
       return REACH.unknown;
     }
-    return report.lostServices.length > 0
-      ? REACH.lost
+    if (report.lostServices.length > 0) {
+      return REACH.lost;
+    }
+    // What it reached before may be lost to all VMs since.
+    return report.reachedAtMs < this.#findLatestLossMs(nowMs)
+      ? REACH.unknown
       : toReach(report.reachedAtMs, nowMs);
   }
 
@@ -120,6 +129,28 @@
     return false;
   }
 
+  #put(vm: VmId, report: VmReachReport): void {
+    const lostSinceMs = this.#findValid(vm, report.knownAtMs) === undefined
+      ? undefined
+      : this.#lostSinceMs.get(vm);
+    this.#reports.set(vm, report);
+    if (report.lostServices.length > 0) {
+      this.#lostSinceMs.set(vm, lostSinceMs ?? report.knownAtMs);
+    } else {
+      this.#lostSinceMs.delete(vm);
+    }
+  }
+
+  #findLatestLossMs(nowMs: number): number {
+    let latestMs = -Infinity;
+    for (const [vm, lostSinceMs] of this.#lostSinceMs) {
+      if (this.#findValid(vm, nowMs) !== undefined) {
+        latestMs = Math.max(latestMs, lostSinceMs);
+      }
+    }
+    return latestMs;
+  }
+
   #findValid(vm: VmId, nowMs: number): VmReachReport | undefined {
     const report = this.#reports.get(vm);
     return report !== undefined && isValid(report, nowMs) ? report : undefined;
--- a/packages/core/src/reach/vm_reach_table_test.ts
+++ b/packages/core/src/reach/vm_reach_table_test.ts
@@ -8,6 +8,7 @@
 } from "./vm_reach_table.ts";
 
 const VM = toId<VmId>("vm-1");
+const OTHER_VM = toId<VmId>("vm-2");
 const SERVICE = toId<ServiceId>("s");
 const OTHER = toId<ServiceId>("t");
 const NOW_MS = 10_000;
@@ -70,6 +71,22 @@
     expect(table.hasLost(NOW_MS)).toBe(expected.all === REACH.lost);
   });
 
+  // When the servers go away for all VMs, one says so first. Callers are not to be
+  // led to those that have not noticed yet.
+  it.each([
+    ["before another lost them", -1, REACH.unknown],
+    ["after another lost them", 1, REACH.confirmed],
+  ])("finds a VM that reached servers %s", (_name, afterMs, expected) => {
+    const table = new VmReachTable();
+    const lost = { lostServices: [SERVICE], reachedAtMs: NOW_MS - 800 };
+    table.record(OTHER_VM, buildReport({ ...lost, knownAtMs: NOW_MS - 500 }));
+    table.record(OTHER_VM, buildReport({ ...lost, knownAtMs: NOW_MS }));
+    table.record(VM, buildReport({ reachedAtMs: NOW_MS - 500 + afterMs }));
+    expect(table.find(VM, NOW_MS)).toBe(expected);
+    table.record(OTHER_VM, buildReport());
+    expect(table.find(VM, NOW_MS)).toBe(REACH.confirmed);
+  });
+
   it("believes the VM itself, though its report seems older", () => {
     const table = new VmReachTable();
     table.record(VM, buildReport());
--- a/packages/entry/src/fleet/fleet_reach.ts
+++ b/packages/entry/src/fleet/fleet_reach.ts
@@ -13,7 +13,7 @@
 import type { ServerReachMonitor } from "./server_reach_monitor.ts";
 import type { ServiceBalancers } from "./service_balancers.ts";
 
-/** An answer that is older does not spare this VM a check of its links. */
+/** An answer that is older, or from before another VM's loss, does not spare this VM a check of its links. */
 const CONFIRMED_FOR_MS = 1_000;
 /** Least time between two such checks. */
 const VERIFY_INTERVAL_MS = 1_000;
@@ -134,7 +134,10 @@
   #verifyIfNeeded(): void {
     const { self, peers, clock } = this.#options;
     const nowMs = clock.readMonotonicMs();
-    const isRecent = nowMs - this.#readReachedAtMs() < CONFIRMED_FOR_MS ||
+    const isConfirmed =
+      peers.reach.find(self.incarnation.vm, nowMs) === REACH.confirmed &&
+      nowMs - this.#readReachedAtMs() < CONFIRMED_FOR_MS;
+    const isRecent = isConfirmed ||
       nowMs - this.#verifiedAtMs < VERIFY_INTERVAL_MS;
     if (isRecent || !peers.reach.hasLost(nowMs)) {
       return;
