--- a/packages/entry/src/fakes/recorded_exchange.ts
+++ b/packages/entry/src/fakes/recorded_exchange.ts
@@ -116,6 +116,7 @@
     knownAtMs: nowMs,
   });
   limits.tracker.recordNamed(SERVER, 50);
+  leader.crashes.registry.recordServerCrash("i-3", nowMs - 5);
   recordCrash(leader, "f", nowMs - 5);
   Object.assign(leader.balancers, { listLoads: () => [["i-1", 2]] });
   Object.assign(leader.limiter, { listDemand: () => [["dance", 1.5]] });
--- a/packages/entry/src/fleet/recorded_messages_test.ts
+++ b/packages/entry/src/fleet/recorded_messages_test.ts
@@ -28,7 +28,7 @@
 
 const DIRECTORY = path.join(__dirname, "recorded");
 const BUILDS = [
-  "71d65e5",
+  "8aaaefe",
   "e3ec2a7",
   "785d524",
   "d538b51",
