test: one crash of a server counts twice if another VM's news of it come late

The log of vm-1: request-quarantined, crashes 3, servers "i-1 i-1 i-2 i-2", source vm-3, at 10.227 s; its own crash of i-2 is of 9.85 s. vm-0, which got the same runs with other dates, logs crashes 2 when it learns of the quarantine.

counts the crash of a server once, though another VM dates it later: expected 2, received 3

--- a/packages/core/src/quarantine/shared_suspicion_test.ts
+++ b/packages/core/src/quarantine/shared_suspicion_test.ts
@@ -1,3 +1,4 @@
+import { countCrashes, SUSPICION_STATUS } from "./suspicion.ts";
 import {
   type InterruptedRun,
   SuspicionRegistry,
@@ -31,4 +32,27 @@
     started.recordCrash("s3", [buildRun("s3", 2_000)], 2_000);
     expect(started.findStatus(REQUEST)).toBe("quarantined");
   });
+
+  // Two VMs ran it at the one server when that crashed; the news of one of them come
+  // late, and the crash seems later than it was.
+  it("counts the crash of a server once, though another VM dates it later", () => {
+    const delayMs = 350;
+    const other = new SuspicionRegistry();
+    other.recordCrash("s1", [buildRun("s1", 300)], 300);
+    other.recordCrash("s2", [{ ...buildRun("s2", 995), id: "of other" }], 995);
+    const here = new SuspicionRegistry();
+    here.recordCrash("without", [], 0);
+    here.recordCrash("s2", [buildRun("s2", 1_000)], 1_000);
+    const dated = other.list().map((one) => ({
+      ...one,
+      status: SUSPICION_STATUS.suspect,
+      runs: one.runs.map((run) => ({
+        ...run,
+        crashedAtMs: run.crashedAtMs + delayMs,
+      })),
+    }));
+    dated.forEach((one) => here.apply(one, 995 + delayMs));
+    expect(countCrashes(here.find(REQUEST)?.runs ?? [])).toBe(2);
+    expect(here.findStatus(REQUEST)).toBe("suspect");
+  });
 });
