fix: time counts from when a caller connected, and a VM that is behind refuses what it can't serve in time

Cause: the time that a request may take counted from when the VM read of it, less an estimate with a ceiling: a third of the timeout at most, and half of the time for which the accept queue was busy. Once requests waited in the VM, each turn of 10 ms accepted one connection, so that the accept queue grew; and giving up on an answer waited behind all requests that were read before.

Ruled out: that the VM knows the time and answers late without load (servers that take 3 s: 0 held, the users' measurement); that all depends on stopped processes (many at once, never stopped: red).

Change: while each turn accepts a connection, the VM connects to its own address for callers; the queue is served in order, so these probes bound the wait of the connections around them from both sides. The lower bound counts in full. A request whose timeout has passed is refused and not sent; one that would wait for over half of its time left for its turn is refused at once, with the wait as Retry-After. Steps of requests that were begun come before the beginning of others. 8 turns and 10 ms that only accept and read lie between turns that begin.

Checks: arrival_queue_test expects steps of begun requests before others, in the order of the new rule; the rest is as strict as before.

--- a/packages/entry/src/dialect/native_dialect.ts
+++ b/packages/entry/src/dialect/native_dialect.ts
@@ -17,7 +17,11 @@
 import type { CallerExchange } from "../serving/caller_exchange.ts";
 import type { PresentedKey } from "../serving/caller_key.ts";
 import type { Refusal } from "../serving/refusal.ts";
-import { type Admission, admitRequest } from "../serving/request_admission.ts";
+import {
+  type Admission,
+  admitRequest,
+  findDeadlineMs,
+} from "../serving/request_admission.ts";
 import type { OutboundRequest } from "../serving/response_receiver.ts";
 import type { ServingPorts } from "../serving/serving_ports.ts";
 import { selectRequestHeaders } from "./header_filter.ts";
@@ -82,6 +86,10 @@
     return admitRequest(this.#ports.configuration, request, arrival);
   }
 
+  override findDeadlineMs(request: IncomingMessage, arrival: Arrival): number {
+    return findDeadlineMs(this.#ports.configuration, request, arrival);
+  }
+
   override isClaimed(context: RequestContext): boolean {
     return !context.route.isIdempotent && context.team !== undefined;
   }
--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -1,7 +1,6 @@
 /** The platform's HTTP interface to callers and backend servers. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { STATUS_CODES } from "node:http";
 import type { Duplex } from "node:stream";
 
 import { WeightedRoundRobin } from "@limpetford/core/fleet/weighted_round_robin";
@@ -39,6 +38,8 @@
 } from "./forwarding_headers.ts";
 import { isHopByHop, parseConnectionOptions } from "./header_names.ts";
 import { countHeaderBytes } from "./header_size.ts";
+import { computeTimeoutMs, parsePath } from "./host_route_timeout.ts";
+import { refuseMalformedCall } from "./malformed_call.ts";
 import { buildProblemResponse } from "./problem_response.ts";
 import {
   type AttemptDetails,
@@ -54,13 +55,6 @@
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** Retry delays are lengthened at random by up to this share. */
 const RETRY_JITTER_SHARE = 0.5;
-const STATUS_BY_PARSER_ERROR: ReadonlyMap<string, number> = new Map([
-  ["HPE_HEADER_OVERFLOW", 431],
-  ["HPE_CHUNK_EXTENSIONS_OVERFLOW", 413],
-  ["ERR_HTTP_REQUEST_TIMEOUT", 408],
-]);
-const STATUS_BAD_REQUEST = 400;
-
 /** State and bounds of a {@link PlatformDialect}. */
 export interface PlatformDialectOptions {
   readonly state: FleetState;
@@ -124,8 +118,7 @@
       return makeError(refuseNotRun("malformed-request"));
     }
     const head = parseCallerHeaders(request.headers);
-    const path = target.split("?", 1)[0] ?? target;
-    const route = this.#state.findHostRoute(head.host, path);
+    const route = this.#state.findHostRoute(head.host, parsePath(target));
     const { forwarding } = arrival;
     if (forwarding !== undefined) {
       return this.#admitForwarded(request, arrival, {
@@ -153,6 +146,17 @@
     });
   }
 
+  override findDeadlineMs(request: IncomingMessage, arrival: Arrival): number {
+    const head = parseCallerHeaders(request.headers);
+    const path = parsePath(request.url ?? "");
+    const route = this.#state.findHostRoute(head.host, path);
+    if (route === undefined) {
+      return Infinity;
+    }
+    const timeoutMs = computeTimeoutMs(route, head);
+    return estimateArrivalMs(arrival, timeoutMs) + timeoutMs;
+  }
+
   override isClaimed(): boolean {
     // Each request of a caller has its own identifier and reaches one VM, so
     // there is nothing to deduplicate.
@@ -285,17 +289,7 @@
     socket: Duplex,
     isBusy: boolean,
   ): void {
-    if (isBusy || !socket.writable || error.code === "ECONNRESET") {
-      socket.destroy();
-      return;
-    }
-    const status = STATUS_BY_PARSER_ERROR.get(error.code ?? "") ??
-      STATUS_BAD_REQUEST;
-    const reason = STATUS_CODES[status] ?? "Bad Request";
-    socket.end(
-      `HTTP/1.1 ${status} ${reason}\r\n` +
-        "content-length: 0\r\nconnection: close\r\n\r\n",
-    );
+    refuseMalformedCall(error, socket, isBusy);
   }
 
   // The other VM has checked the key and taken a token of the team.
@@ -358,10 +352,7 @@
     const teamPriority = team === undefined
       ? undefined
       : this.#state.findTeam(team)?.priority;
-    const timeoutMs = Math.min(
-      head.timeLeftMs ?? route.deadlineMs,
-      route.deadlineMs,
-    );
+    const timeoutMs = computeTimeoutMs(route, head);
     const arrivedAtMs = estimateArrivalMs(arrival, timeoutMs);
     return {
       id: arrival.id,
--- a/packages/entry/src/dialect/serving_dialect.ts
+++ b/packages/entry/src/dialect/serving_dialect.ts
@@ -110,6 +110,15 @@
     arrival: Arrival,
   ): Result<Admission, Refusal>;
 
+  /**
+   * Finds the time until which a request can be served, before it is admitted.
+   *
+   * @param request - the caller's request
+   * @param arrival - time of arrival
+   * @returns monotonic milliseconds; infinite if it is not limited or not known
+   */
+  abstract findDeadlineMs(request: IncomingMessage, arrival: Arrival): number;
+
   /**
    * Checks whether a request must be claimed in the idempotency ledger before
    * it is sent to a backend server.
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -25,13 +25,13 @@
 import { EXCEPTION_SOURCE } from "../telemetry/contained_exceptions.ts";
 import { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
 import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
+import { connectQueueProbe } from "../vm/tcp_queue_probe.ts";
 import {
   type CallerServerOptions,
   createHttpServer,
 } from "./caller_server_limits.ts";
 import { closeServer } from "./close_server.ts";
 
-const DEFAULT_MAX_CONNECTIONS = 10_000;
 const DEFAULT_LINGER_MS = 0;
 /** Length of the accept queue, for many callers that connect at once. */
 const ACCEPT_BACKLOG = 4_096;
@@ -87,7 +87,11 @@
     this.#ports = ports;
     this.#options = options;
     this.#loop = ports.loop ?? new EventLoopMonitor(ports.clock);
-    this.#acceptQueue = new AcceptQueueMonitor(ports.clock, this.#loop);
+    this.#acceptQueue = new AcceptQueueMonitor(
+      ports.clock,
+      this.#loop,
+      () => connectQueueProbe(this.#server, ports.clock),
+    );
     this.#connections = new BackendConnectionPool(ports.clock, {
       ...options.backend,
       exceptions: ports.exceptions,
@@ -253,6 +257,7 @@
   /** Stops immediately; requests in flight are aborted. */
   async stop(): Promise<void> {
     this.#isStopping = true;
+    this.#acceptQueue.close();
     const closed = closeServer(this.#server, this.#exchanges);
     this.#server.closeAllConnections();
     await Promise.all([
@@ -282,13 +287,12 @@
   }
 
   #createServer(): http.Server {
-    const options = this.#options;
-    const server = createHttpServer(options);
-    server.maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
+    const server = createHttpServer(this.#options);
     server.on("connection", (socket: Socket) => {
       this.#runFor(socket, () => {
-        this.#acceptQueue.observeAccept(socket);
-        trackConnection(this.#pipeline.memory, socket);
+        if (this.#acceptQueue.observeAccept(socket)) {
+          trackConnection(this.#pipeline.memory, socket);
+        }
       });
     });
     server.on("request", (request, response) => {
@@ -339,14 +343,12 @@
     response: http.ServerResponse,
     forwarding: ForwardingTerms | undefined,
   ): void {
+    this.#loop.observeRead();
     const exchange = new CallerExchange(request, response, {
       id: this.#resolveRequestId(request),
       receivedAtMs: this.#ports.clock.readMonotonicMs(),
       maxUnreadMs: this.#loop.maxUnreadMs,
-      likelyUnreadMs: Math.max(
-        this.#loop.likelyUnreadMs,
-        this.#acceptQueue.estimateUnreadMs(request.socket),
-      ),
+      ...this.#acceptQueue.estimateUnread(request.socket),
       forwarding,
       random: this.#ports.random,
       dialect: this.#dialect,
@@ -386,15 +388,13 @@
     if (given !== undefined) {
       return given;
     }
-    this.#requestCount += 1;
-    const number = this.#requestCount.toString(36);
+    const number = (++this.#requestCount).toString(36);
     return toId<RequestId>(`${this.#requestIdPrefix}-${number}`);
   }
 
   #retireConnections(): void {
-    const servers = this.#ports.configuration.readConfiguration()?.servers;
-    this.#connections.retireExcept(
-      (servers ?? []).map((server) => server.address),
-    );
+    const { servers = [] } = this.#ports.configuration.readConfiguration() ??
+      {};
+    this.#connections.retireExcept(servers.map(({ address }) => address));
   }
 }
--- a/packages/entry/src/http/caller_server_limits.ts
+++ b/packages/entry/src/http/caller_server_limits.ts
@@ -12,6 +12,7 @@
 const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
 const DEFAULT_REQUEST_TIMEOUT_MS = 60_000;
 const DEFAULT_KEEP_ALIVE_TIMEOUT_MS = 15_000;
+const DEFAULT_MAX_CONNECTIONS = 10_000;
 const DEFAULT_MAX_HEADER_BYTES = 16_384;
 const CONNECTION_CHECK_INTERVAL_MS = 1_000;
 
@@ -71,11 +72,13 @@
     // admission checks the `Host` header instead.
     requireHostHeader: false,
   };
-  return options.tls === undefined
+  const server = options.tls === undefined
     ? http.createServer(limits)
     : https.createServer({
       ...limits,
       cert: options.tls.certificate,
       key: options.tls.privateKey,
     });
+  server.maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
+  return server;
 }
--- a/packages/entry/src/ports/request_context.ts
+++ b/packages/entry/src/ports/request_context.ts
@@ -1,5 +1,6 @@
 /** Data of a request that rate limiting, claims and routing decide on. */
 
+import type { Clock } from "@limpetford/core/time/clock";
 import type { RequestId, ServiceId, TeamId } from "@limpetford/domain/ids";
 import type { Route } from "@limpetford/domain/route";
 
@@ -39,3 +40,18 @@
   /** Set if the configuration has priorities, target latencies and splits. */
   readonly terms?: RequestTerms;
 }
+
+/**
+ * Checks whether a request's time is up. The timer of its deadline may not have run
+ * yet in a VM that is behind.
+ *
+ * @param context - the admitted request
+ * @param clock - tells the time
+ * @returns true if nothing may be begun for it any more
+ */
+export function hasExpired(
+  { deadlineAtMs }: RequestContext,
+  clock: Clock,
+): boolean {
+  return deadlineAtMs <= clock.readMonotonicMs();
+}
--- a/packages/entry/src/serving/admitted_exchange.ts
+++ b/packages/entry/src/serving/admitted_exchange.ts
@@ -14,6 +14,7 @@
 import type { RequestRecord } from "./request_explanations.ts";
 import { computeRepeatFingerprint } from "./request_fingerprint.ts";
 import type { OutboundRequest } from "./response_receiver.ts";
+import type { ServingPorts } from "./serving_ports.ts";
 
 /** A caller's exchange with its record and its share of the VM's memory. */
 export interface OpenedExchange {
@@ -50,6 +51,29 @@
     : value;
 }
 
+/**
+ * Opens the span of this hop.
+ *
+ * @param ports - records spans, if tracing is on
+ * @param exchange - the caller's exchange
+ * @param admission - the admitted request
+ * @returns the span; undefined if tracing is off
+ */
+export function openEntrySpan(
+  { spans }: Pick<ServingPorts, "spans">,
+  exchange: CallerExchange,
+  { context, key }: Admission,
+): HopSpan | undefined {
+  if (spans === undefined) {
+    return undefined;
+  }
+  return spans.open("entry", readTraceparent(exchange.request, key), {
+    requestId: exchange.id,
+    method: context.method,
+    route: context.route.id,
+  });
+}
+
 /**
  * Builds the request to send to backend servers from the caller's request.
  *
--- a/packages/entry/src/serving/arrival.ts
+++ b/packages/entry/src/serving/arrival.ts
@@ -5,9 +5,9 @@
 import type { ForwardingTerms } from "../dialect/forwarding_headers.ts";
 
 /**
- * Largest share of a request's time that is taken to have passed while it lay
- * unread. Callers wait no longer for a VM that reads nothing, and of those that do,
- * none is refused for an estimate.
+ * Largest share of a request's time that is taken to have passed by an estimate.
+ * Callers wait no longer for a VM that reads nothing, and of those that do, none is
+ * refused for an estimate.
  */
 const MAX_UNREAD_SHARE = 1 / 3;
 
@@ -16,6 +16,8 @@
   readonly id: RequestId;
   /** Monotonic time at which it was read, in milliseconds. */
   readonly receivedAtMs: number;
+  /** Time for which it has certainly lain unread, in milliseconds. */
+  readonly minUnreadMs: number;
   /** Time for which it is likely to have lain unread, in milliseconds. */
   readonly likelyUnreadMs: number;
   /** Set if another VM has forwarded the request to this one. */
@@ -30,8 +32,9 @@
  * @returns monotonic time, in milliseconds
  */
 export function estimateArrivalMs(
-  { receivedAtMs, likelyUnreadMs }: Arrival,
+  { receivedAtMs, minUnreadMs, likelyUnreadMs }: Arrival,
   timeoutMs: number,
 ): number {
-  return receivedAtMs - Math.min(likelyUnreadMs, timeoutMs * MAX_UNREAD_SHARE);
+  const estimatedMs = Math.min(likelyUnreadMs, timeoutMs * MAX_UNREAD_SHARE);
+  return receivedAtMs - Math.max(minUnreadMs, estimatedMs);
 }
--- a/packages/entry/src/serving/arrival_queue.ts
+++ b/packages/entry/src/serving/arrival_queue.ts
@@ -1,5 +1,6 @@
 /** Orders what a busy VM does before and after it has read its connections. */
 
+import { QueueWaitEstimator } from "@limpetford/core/fairness/queue_wait_estimator";
 import type { Clock } from "@limpetford/core/time/clock";
 
 import type { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
@@ -12,32 +13,62 @@
 const MAX_UNREAD_MS = 150;
 /** Time in a turn of the event loop in which requests are begun. */
 const TURN_BUDGET_MS = 10;
+/** Time in a turn in which requests are refused that would wait too long. */
+const REFUSAL_BUDGET_MS = 5;
 /** Longest time for which a step waits while connections are accepted. */
 const MAX_ACCEPT_WAIT_MS = 100;
+/** Least time in which connections are accepted between two turns that begin requests. */
+const ACCEPT_TIME_MS = 10;
+/** Least number of turns in which connections are accepted between two of those. */
+const ACCEPT_TURNS = 8;
 
-interface QueuedStep {
+/** A request that was read. */
+export interface ReadRequest {
+  /** Begins to serve it. */
   readonly run: () => void;
+  /** Refuses it, with the time in which the VM gets through its queue. */
+  readonly refuse: (retryAfterMs: number) => void;
+  /** Finds the time until which it can be served, in monotonic milliseconds. */
+  readonly findDeadlineMs: () => number;
+}
+
+interface QueuedRequest {
+  readonly request: ReadRequest;
   readonly queuedAtMs: number;
+  readonly deadlineAtMs: number;
   /** Number of the turn in which it was queued. */
   readonly turn: number;
 }
 
+interface QueuedStep {
+  readonly run: () => void;
+  readonly turn: number;
+}
+
 /**
  * Begins to serve what was read from callers. The close of a caller is read after
  * its request, so while the event loop is behind, some of those callers have left.
  * Then what was read waits until the connections have been read once more, and a
  * turn of the loop begins only as much as lets it read them again soon, the oldest
- * first. Attempts and timeouts of requests that were begun wait in the same way.
- * A turn accepts one connection, so those that wait are accepted before it serves.
+ * first. A request that would wait too long for its turn is refused at once. Attempts
+ * and timeouts of requests that were begun wait for the reading alone.
+ * A turn accepts one connection, so between two turns that begin requests there are
+ * some that only accept and read, if connections wait.
  */
 export class ArrivalQueue {
   readonly #clock: Clock;
   readonly #loop: EventLoopMonitor;
   readonly #acceptQueue: Pick<AcceptQueueMonitor, "isBusy">;
+  readonly #requests: QueuedRequest[] = [];
+  /** Steps of requests that were begun. */
   readonly #steps: QueuedStep[] = [];
+  readonly #waits = new QueueWaitEstimator();
   #turn = 0;
   #turnStartedAtMs = -Infinity;
   #isTurnObserved = false;
+  /** End of the last turn that began requests while others waited. */
+  #begunAtMs: number | undefined;
+  #begunInTurn = 0;
 
   /**
    * Creates an empty queue.
@@ -58,20 +89,27 @@
 
   /**
    * Begins a request that was read: at once if the event loop is not behind, in
-   * its turn otherwise.
+   * its turn otherwise, if it has time to wait for that.
    *
-   * @param run - begins to serve the request
+   * @param request - what to do with it
    */
-  begin(run: () => void): void {
+  begin(request: ReadRequest): void {
     const nowMs = this.#clock.readMonotonicMs();
     this.#observeTurn(nowMs);
     if (
-      this.#steps.length > 0 || this.#mayBeUnread() ||
-      nowMs - this.#turnStartedAtMs > TURN_BUDGET_MS
+      this.#requests.length === 0 && !this.#mayBeUnread() &&
+      nowMs - this.#turnStartedAtMs <= TURN_BUDGET_MS
     ) {
-      this.#add(run, nowMs);
+      request.run();
+      return;
+    }
+    const deadlineAtMs = request.findDeadlineMs();
+    const ahead = this.#requests.length;
+    if (this.#waits.mayWait(ahead, deadlineAtMs - nowMs)) {
+      const turn = this.#turn;
+      this.#requests.push({ request, queuedAtMs: nowMs, deadlineAtMs, turn });
     } else {
-      run();
+      request.refuse(this.#waits.estimateMs(ahead));
     }
   }
 
@@ -84,9 +122,8 @@
    */
   runOnceRead(run: () => void): void {
     if (this.#mayBeUnread()) {
-      const nowMs = this.#clock.readMonotonicMs();
-      this.#observeTurn(nowMs);
-      this.#add(run, nowMs);
+      this.#observeTurn(this.#clock.readMonotonicMs());
+      this.#steps.push({ run, turn: this.#turn });
     } else {
       run();
     }
@@ -96,14 +133,6 @@
     return this.#loop.maxUnreadMs > MAX_UNREAD_MS;
   }
 
-  #shouldAcceptFirst(queuedMs: number): boolean {
-    return this.#acceptQueue.isBusy && queuedMs < MAX_ACCEPT_WAIT_MS;
-  }
-
-  #add(run: () => void, queuedAtMs: number): void {
-    this.#steps.push({ run, queuedAtMs, turn: this.#turn });
-  }
-
   #observeTurn(nowMs: number): void {
     this.#loop.observeTurn();
     if (this.#isTurnObserved) {
@@ -114,31 +143,94 @@
     setImmediate(() => {
       this.#isTurnObserved = false;
       this.#turn += 1;
-      void this.#runSteps(this.#turn - 2);
+      void this.#runTurn(this.#turn - 2);
     });
   }
 
-  // Waits for what a step has set going before it begins the next one, so that the
-  // budget covers that as well. Nothing is read meanwhile.
+  async #runTurn(lastTurn: number): Promise<void> {
+    const startedAtMs = this.#clock.readMonotonicMs();
+    await this.#runSteps(lastTurn);
+    this.#refuseHopeless();
+    await this.#beginRequests(lastTurn, startedAtMs);
+    if (this.#requests.length + this.#steps.length > 0) {
+      this.#observeTurn(this.#clock.readMonotonicMs());
+    }
+    if (this.#requests.length === 0) {
+      this.#waits.reset();
+      this.#begunAtMs = undefined;
+    }
+  }
+
+  // Requests that were begun are finished before others are.
   async #runSteps(lastTurn: number): Promise<void> {
+    for (;;) {
+      const [next] = this.#steps;
+      if (next === undefined || next.turn > lastTurn) {
+        return;
+      }
+      this.#steps.shift();
+      next.run();
+      await Promise.resolve();
+    }
+  }
+
+  // The rate may have turned out lower than when they were queued. The last ones
+  // would wait longest.
+  #refuseHopeless(): void {
     const startedAtMs = this.#clock.readMonotonicMs();
     let nowMs = startedAtMs;
-    while (nowMs - startedAtMs < TURN_BUDGET_MS) {
-      const [next] = this.#steps;
+    while (nowMs - startedAtMs < REFUSAL_BUDGET_MS) {
+      const ahead = this.#requests.length - 1;
+      const last = this.#requests[ahead];
       if (
-        next === undefined || next.turn > lastTurn ||
-        this.#shouldAcceptFirst(nowMs - next.queuedAtMs)
+        last === undefined ||
+        this.#waits.mayWait(ahead, last.deadlineAtMs - nowMs)
       ) {
-        break;
+        return;
       }
-      this.#steps.shift();
+      this.#requests.pop();
+      last.request.refuse(this.#waits.estimateMs(ahead));
+      nowMs = this.#clock.readMonotonicMs();
+    }
+  }
+
+  #shouldAcceptFirst(nowMs: number, { queuedAtMs }: QueuedRequest): boolean {
+    if (!this.#acceptQueue.isBusy) {
+      return false;
+    }
+    return this.#begunAtMs === undefined
+      ? nowMs - queuedAtMs < MAX_ACCEPT_WAIT_MS
+      : nowMs - this.#begunAtMs < ACCEPT_TIME_MS ||
+        this.#turn - this.#begunInTurn < ACCEPT_TURNS;
+  }
+
+  // Waits for what a request has set going before it begins the next one, so that the
+  // budget covers that as well. Nothing is read meanwhile.
+  async #beginRequests(lastTurn: number, startedAtMs: number): Promise<void> {
+    let nowMs = this.#clock.readMonotonicMs();
+    const [first] = this.#requests;
+    if (first === undefined || this.#shouldAcceptFirst(nowMs, first)) {
+      return;
+    }
+    do {
+      const [next] = this.#requests;
+      if (next === undefined || next.turn > lastTurn) {
+        return;
+      }
+      this.#requests.shift();
       this.#loop.recordDelay(nowMs - next.queuedAtMs);
-      next.run();
+      next.request.run();
       await Promise.resolve();
       nowMs = this.#clock.readMonotonicMs();
+      this.#recordBegun(nowMs);
+    } while (nowMs - startedAtMs < TURN_BUDGET_MS);
+  }
+
+  #recordBegun(nowMs: number): void {
+    if (this.#begunAtMs !== undefined) {
+      this.#waits.record(nowMs - this.#begunAtMs);
     }
-    if (this.#steps.length > 0) {
-      this.#observeTurn(nowMs);
-    }
+    this.#begunAtMs = nowMs;
+    this.#begunInTurn = this.#turn;
   }
 }
--- a/packages/entry/src/serving/arrival_queue_test.ts
+++ b/packages/entry/src/serving/arrival_queue_test.ts
@@ -4,6 +4,7 @@
 import { ArrivalQueue } from "./arrival_queue.ts";
 
 const HELD_UP_MS = 3_000;
+const TIMEOUT_MS = 1_000;
 
 async function waitTurn(): Promise<void> {
   await new Promise((resolve) => setImmediate(resolve));
@@ -15,19 +16,33 @@
   let acceptQueue: { isBusy: boolean };
   let queue: ArrivalQueue;
   let begun: string[];
+  let refused: string[];
   beforeEach(() => {
     clock = new FakeClock();
     loop = new EventLoopMonitor(clock);
     acceptQueue = { isBusy: false };
     queue = new ArrivalQueue(clock, loop, acceptQueue);
     begun = [];
+    refused = [];
+  });
+  // A queue goes on with its turns until it is empty.
+  afterEach(async () => {
+    acceptQueue.isBusy = false;
+    clock.advance(HELD_UP_MS);
+    for (let turn = 0; turn < 100; turn++) {
+      await waitTurn();
+    }
   });
 
   // Begins a request, which takes some time.
   function begin(name: string, takesMs = 0): void {
-    queue.begin(() => {
-      begun.push(name);
-      clock.advance(takesMs);
+    queue.begin({
+      run: () => {
+        begun.push(name);
+        clock.advance(takesMs);
+      },
+      refuse: () => refused.push(name),
+      findDeadlineMs: () => clock.readMonotonicMs() + TIMEOUT_MS,
     });
   }
 
@@ -46,7 +61,59 @@
     expect(begun).toEqual([]);
     await waitTurn();
     await waitTurn();
-    expect(begun).toEqual(["read", "sent"]);
+    expect(begun).toEqual(["sent", "read"]);
+  });
+
+  // Guards against timeouts that wait behind all requests that were read before.
+  it("takes steps of begun requests before it begins others", async () => {
+    clock.advance(HELD_UP_MS);
+    for (let index = 0; index < 9; index++) {
+      begin(`request-${index}`, 4);
+    }
+    queue.runOnceRead(() => begun.push("given up"));
+    await waitTurn();
+    await waitTurn();
+    expect(begun[0]).toBe("given up");
+  });
+
+  // Guards against requests that wait although their time will be over.
+  it("refuses at once what would wait too long for its turn", () => {
+    clock.advance(HELD_UP_MS);
+    for (let index = 0; index < 600; index++) {
+      begin(`request-${index}`);
+    }
+    expect(refused).toHaveLength(99);
+    expect(refused[0]).toBe("request-501");
+  });
+
+  it("refuses the last ones when requests take longer than before", async () => {
+    clock.advance(HELD_UP_MS);
+    for (let index = 0; index < 100; index++) {
+      begin(`request-${index}`, 50);
+    }
+    expect(refused).toEqual([]);
+    for (let turn = 0; turn < 8; turn++) {
+      await waitTurn();
+    }
+    expect(refused[0]).toBe("request-99");
+    expect(refused.length).toBeGreaterThan(50);
+  });
+
+  // Guards against connections that wait for seconds once requests have waited.
+  it("accepts connections between turns that begin requests", async () => {
+    clock.advance(HELD_UP_MS);
+    acceptQueue.isBusy = true;
+    for (let index = 0; index < 9; index++) {
+      begin(`request-${index}`, 10);
+    }
+    clock.advance(100);
+    const counts: number[] = [];
+    for (let turn = 0; turn < 20; turn++) {
+      await waitTurn();
+      clock.advance(2);
+      counts.push(begun.length);
+    }
+    expect(counts).toMatchSnapshot();
   });
 
   it("begins the oldest first, and a few in each turn", async () => {
--- a/packages/entry/src/serving/arrival_test.ts
+++ b/packages/entry/src/serving/arrival_test.ts
@@ -16,6 +16,7 @@
     const arrival = {
       id: toId<RequestId>("r"),
       receivedAtMs: 5_000,
+      minUnreadMs: 0,
       likelyUnreadMs: unread,
     };
     expect(estimateArrivalMs(arrival, 3_000)).toBe(expected);
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -2,6 +2,7 @@
 
 import type { ServerId } from "@limpetford/domain/ids";
 
+import { hasExpired } from "../ports/request_context.ts";
 import type { Placement, PlacementRequest } from "../ports/server_router.ts";
 import { EXCEPTION_SOURCE } from "../telemetry/contained_exceptions.ts";
 import { AttemptCounter } from "./attempt_counter.ts";
@@ -260,6 +261,9 @@
   }
 
   #dispatch(request: PlacementRequest, placement: Placement): void {
+    if (hasExpired(this.#request.context, this.#ports.clock)) {
+      this.expire();
+    }
     if (this.#isFinished || this.#winner !== undefined) {
       returnSlot(placement, this.#guard);
       return;
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -25,6 +25,8 @@
   readonly receivedAtMs: number;
   /** Longest time for which the request may have lain unread. */
   readonly maxUnreadMs: number;
+  /** Time for which it has certainly lain unread, in milliseconds. */
+  readonly minUnreadMs: number;
   /** Time for which it is likely to have lain unread, in milliseconds. */
   readonly likelyUnreadMs: number;
   /** Set if another VM has forwarded the request to this one. */
@@ -50,6 +52,7 @@
   readonly id: RequestId;
   readonly receivedAtMs: number;
   readonly maxUnreadMs: number;
+  readonly minUnreadMs: number;
   readonly likelyUnreadMs: number;
   readonly forwarding: ForwardingTerms | undefined;
   readonly #options: ExchangeOptions;
@@ -80,6 +83,7 @@
     this.id = options.id;
     this.receivedAtMs = options.receivedAtMs;
     this.maxUnreadMs = options.maxUnreadMs;
+    this.minUnreadMs = options.minUnreadMs;
     this.likelyUnreadMs = options.likelyUnreadMs;
     this.forwarding = options.forwarding;
     this.#options = options;
@@ -111,6 +115,20 @@
     return this.#isLastOnConnection;
   }
 
+  /**
+   * Finds the time until which the request can be served, before it is admitted.
+   *
+   * @returns monotonic milliseconds; infinite if it is not limited or not known
+   */
+  findDeadlineMs(): number {
+    try {
+      return this.#options.dialect.findDeadlineMs(this.request, this);
+    } catch {
+      // What is thrown here, the admission throws again.
+      return Infinity;
+    }
+  }
+
   /**
    * Sets the callback for a caller that disconnects before the response is
    * complete.
--- a/packages/entry/src/serving/request_admission.ts
+++ b/packages/entry/src/serving/request_admission.ts
@@ -88,6 +88,29 @@
   return makeOk({ context, key });
 }
 
+/**
+ * Finds the time until which a request can be served, before it is admitted.
+ *
+ * @param configuration - routes with their timeouts
+ * @param request - request whose body has not been read
+ * @param arrival - time of arrival
+ * @returns monotonic milliseconds; infinite without a route or a valid timeout
+ */
+export function findDeadlineMs(
+  configuration: ConfigurationSource,
+  request: IncomingMessage,
+  arrival: Arrival,
+): number {
+  const [path = ""] = (request.url ?? "").split("?", 1);
+  const route = configuration.findRoute(request.method ?? "GET", path);
+  const givenMs = parseTimeout(request.headers[HEADER.requestTimeoutMs]);
+  if (route === undefined || givenMs === undefined) {
+    return Infinity;
+  }
+  const timeoutMs = Math.min(givenMs, route.deadlineMs);
+  return estimateArrivalMs(arrival, timeoutMs) + timeoutMs;
+}
+
 /**
  * Removes query parameters that contain the API key.
  *
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -3,15 +3,15 @@
 import { PassThrough } from "node:stream";
 
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
+import { hasExpired } from "../ports/request_context.ts";
 import { EXCEPTION_SOURCE } from "../telemetry/contained_exceptions.ts";
-import type { HopSpan } from "../telemetry/span_recorder.ts";
 import type { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import {
   type AdmittedExchange,
   buildOutboundRequest,
   type OpenedExchange,
-  readTraceparent,
+  openEntrySpan,
   refuseOverRate,
 } from "./admitted_exchange.ts";
 import { ArrivalQueue } from "./arrival_queue.ts";
@@ -43,6 +43,9 @@
 import type { OutboundRequest } from "./response_receiver.ts";
 import type { ServingPorts } from "./serving_ports.ts";
 
+/** Least delay after which a caller comes back whom this VM had no time for. */
+const MIN_RETRY_MS = 200;
+
 /**
  * Serves requests: admits them, takes a token from the rate limiter, claims
  * those that are not idempotent, and sends them to backend servers.
@@ -146,25 +149,33 @@
     this.#inFlight.add();
     const memory = openMemoryShare(this.memory, exchange);
     if (memory === undefined) {
-      this.#refuseForMemory(exchange);
+      // The connection holds memory as well.
+      exchange.response.shouldKeepAlive = false;
+      this.#ports.metrics?.count("memory_refusals");
+      this.#refuseBusy(exchange);
       return;
     }
-    this.#arrivals.begin(() => {
-      // A slow caller's response is held until its connection has taken it.
-      void this.#serve(exchange, memory).then(() => exchange.closed).finally(
-        () => {
-          memory.close();
-        },
-      );
+    // A slow caller's response is held until its connection has taken it.
+    const release = async (): Promise<void> => {
+      await exchange.closed;
+      memory.close();
+    };
+    this.#arrivals.begin({
+      run: () => {
+        void this.#serve(exchange, memory).then(release);
+      },
+      refuse: (retryAfterMs) => {
+        this.#ports.metrics?.count("queue_refusals");
+        this.#refuseBusy(exchange, Math.max(MIN_RETRY_MS, retryAfterMs));
+        void release();
+      },
+      findDeadlineMs: () => exchange.findDeadlineMs(),
     });
   }
 
-  #refuseForMemory(exchange: CallerExchange): void {
+  #refuseBusy(exchange: CallerExchange, retryAfterMs?: number): void {
     const record = this.#addRecord(exchange);
-    // The connection holds memory as well.
-    exchange.response.shouldKeepAlive = false;
-    exchange.abort(refuseNotRun("vm-busy"));
-    this.#ports.metrics?.count("memory_refusals");
+    exchange.abort(refuseNotRun("vm-busy", retryAfterMs));
     this.#complete(exchange, record);
   }
 
@@ -186,13 +197,16 @@
     }
     try {
       const admission = this.#dialect.admit(exchange.request, exchange);
-      if (admission.ok) {
+      if (!admission.ok) {
+        exchange.refuse(admission.error);
+      } else if (hasExpired(admission.value.context, this.#ports.clock)) {
+        // Its timeout passed while it lay unread or waited for its turn.
+        exchange.refuse(refuseNotRun("vm-busy", MIN_RETRY_MS));
+      } else {
         await this.#serveAdmitted(
           { exchange, record, memory },
           admission.value,
         );
-      } else {
-        exchange.refuse(admission.error);
       }
     } catch (error) {
       // What attempts throw ends in `SeriesDependencies.abort`.
@@ -210,7 +224,7 @@
     record.route = context.route.id;
     record.team = context.team;
     record.isPassedOn = context.isPassedOn;
-    const span = this.#openSpan(exchange, { context, key });
+    const span = openEntrySpan(this.#ports, exchange, { context, key });
     const admitted = { context, key, exchange, record, span, memory };
     try {
       if (context.team !== undefined && this.#dialect.isClaimed(context)) {
@@ -223,21 +237,6 @@
     }
   }
 
-  #openSpan(
-    exchange: CallerExchange,
-    { context, key }: Admission,
-  ): HopSpan | undefined {
-    const { spans } = this.#ports;
-    if (spans === undefined) {
-      return undefined;
-    }
-    return spans.open("entry", readTraceparent(exchange.request, key), {
-      requestId: exchange.id,
-      method: context.method,
-      route: context.route.id,
-    });
-  }
-
   async #serveUnclaimed(admitted: AdmittedExchange): Promise<void> {
     const { exchange } = admitted;
     this.#unclaimed.set(exchange, undefined);
--- a/packages/entry/src/vm/accept_queue_monitor_test.ts
+++ b/packages/entry/src/vm/accept_queue_monitor_test.ts
@@ -2,6 +2,7 @@
 
 import { FakeClock } from "@limpetford/core/time/fake_clock";
 
+import { FakeQueueProbe } from "../fakes/fake_queue_probe.ts";
 import { AcceptQueueMonitor } from "./accept_queue_monitor.ts";
 import { EventLoopMonitor } from "./event_loop_monitor.ts";
 
@@ -24,7 +25,7 @@
     for (let turn = 0; turn < count; turn++) {
       const socket = new PassThrough();
       monitor.observeAccept(socket);
-      waits.push(monitor.estimateUnreadMs(socket));
+      waits.push(monitor.estimateUnread(socket).likelyUnreadMs);
       clock.advance(20);
       await waitTurn();
     }
@@ -58,6 +59,78 @@
     await waitTurn();
     await waitTurn();
     clock.advance(1_000);
-    expect(monitor.estimateUnreadMs(socket)).toBe(0);
+    expect(monitor.estimateUnread(socket)).toEqual({
+      minUnreadMs: 0,
+      likelyUnreadMs: 0,
+    });
+  });
+
+  describe("with probes", () => {
+    let probes: FakeQueueProbe[];
+    beforeEach(() => {
+      probes = [];
+      monitor = new AcceptQueueMonitor(clock, loop, () => {
+        const probe = new FakeQueueProbe(clock.readMonotonicMs());
+        probes.push(probe);
+        return probe;
+      });
+    });
+
+    // Accepts a connection, or the next probe, in a turn of 20 ms.
+    async function acceptInTurn(
+      probe?: FakeQueueProbe,
+    ): Promise<readonly number[]> {
+      const socket = probe?.otherEnd ?? new PassThrough();
+      const isCaller = monitor.observeAccept(socket);
+      const { minUnreadMs, likelyUnreadMs } = monitor.estimateUnread(socket);
+      clock.advance(20);
+      await waitTurn();
+      return isCaller ? [minUnreadMs, likelyUnreadMs] : [];
+    }
+
+    it("knows for how long those before a probe have waited at least", async () => {
+      const waits = [];
+      for (let turn = 0; turn < 6; turn++) {
+        waits.push(await acceptInTurn());
+      }
+      expect(probes).toHaveLength(2);
+      expect(waits).toEqual([
+        [0, 0],
+        [0, 10],
+        [20, 20],
+        [40, 40],
+        [60, 60],
+        [80, 80],
+      ]);
+    });
+
+    it("knows that those behind a probe came after it", async () => {
+      for (let turn = 0; turn < 50; turn++) {
+        await acceptInTurn();
+      }
+      const [first] = probes;
+      const second = probes[1];
+      expect(await acceptInTurn(first)).toEqual([]);
+      const waitedMs = clock.readMonotonicMs() - (second?.queuedAtMs ?? 0);
+      const [minMs = 0, likelyMs = 0] = await acceptInTurn();
+      expect(minMs).toBe(waitedMs);
+      expect(likelyMs - minMs).toBeLessThanOrEqual(50);
+      expect(loop.longestQueueMs).toBeGreaterThan(waitedMs);
+    });
+
+    it("opens few probes however long the first one waits", async () => {
+      for (let turn = 0; turn < 500; turn++) {
+        await acceptInTurn();
+      }
+      expect(probes.length).toBeLessThan(25);
+    });
+
+    it("opens none while connections come one by one", async () => {
+      for (let turn = 0; turn < 20; turn++) {
+        await acceptInTurn();
+        await waitTurn();
+      }
+      expect(probes).toHaveLength(0);
+    });
   });
 });
--- a/packages/entry/src/vm/event_loop_monitor.ts
+++ b/packages/entry/src/vm/event_loop_monitor.ts
@@ -27,6 +27,8 @@
   #lastTurnAtMs: number;
   #turnBeforeAtMs: number;
   #isScheduled = false;
+  /** When the first of this turn's reads was handled. */
+  #readingSinceMs: number | undefined;
   #turn = 0;
   #timerDueAtMs = Infinity;
   #timerDelayMs = 0;
@@ -72,6 +74,23 @@
     return Math.max(0, overdueMs, delayMs);
   }
 
+  /**
+   * Time for which bytes that are read now have lain unread at least: a turn reads
+   * what had come when it began to.
+   *
+   * @returns milliseconds since the first read of this turn that was observed
+   */
+  get minUnreadMs(): number {
+    const nowMs = this.#clock.readMonotonicMs();
+    return nowMs - (this.#readingSinceMs ?? nowMs);
+  }
+
+  /** Observes that bytes were read from a connection. */
+  observeRead(): void {
+    this.#readingSinceMs ??= this.#clock.readMonotonicMs();
+    this.observeTurn();
+  }
+
   /**
    * Announces when the regular timer is due next. It shows how late the loop is.
    *
@@ -142,6 +161,7 @@
     this.#isScheduled = true;
     setImmediate(() => {
       this.#isScheduled = false;
+      this.#readingSinceMs = undefined;
       this.#turn += 1;
       this.#turnBeforeAtMs = this.#lastTurnAtMs;
       this.#lastTurnAtMs = this.#clock.readMonotonicMs();
