test: servers that send bytes without end

Twelve servers of 20 send one kind each, up to 60 MB a connection: noise, blank lines, a status line, a header's name or value, headers, 100 Continue, chunks, an extension, trailers, a body without a length, bytes behind a response. The VMs run with the flags of the deploy file; the bound is the memory of the users' smallest VMs (250 MB), and that no process ends.

Not reproduced. So nothing is mended here.

--- a/packages/standins/src/fleet/collected_memory_test.ts
+++ b/packages/standins/src/fleet/collected_memory_test.ts
@@ -6,7 +6,7 @@
 import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
-import { VM_PORTS } from "./vm_ports.ts";
+import { readMetric } from "./vm_metrics.ts";
 import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
@@ -82,15 +82,3 @@
   socket.on("error", () => undefined);
   return socket;
 }
-
-async function readMetric(
-  vm: VmProcessHandle,
-  name: string,
-): Promise<number | undefined> {
-  const url = `http://${vm.host}:${VM_PORTS.metrics}/metrics`;
-  const text = await (await fetch(url)).text();
-  const value = text.split("\n").find((line) =>
-    line.startsWith(`limpetford_${name} `)
-  )?.split(" ")[1];
-  return value === undefined ? undefined : Number(value);
-}
--- a/packages/standins/src/fleet/held_memory_test.ts
+++ b/packages/standins/src/fleet/held_memory_test.ts
@@ -1,5 +1,3 @@
-import { readFileSync } from "node:fs";
-
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import { SERVER_BEHAVIOR } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
@@ -7,7 +5,7 @@
 import { getVm } from "./fleet_lookup.ts";
 import { CALLER_PORT, FleetProcesses } from "./fleet_processes.ts";
 import { type HeldCaller, openHeldCallers } from "./held_callers.ts";
-import { VM_PORTS } from "./vm_ports.ts";
+import { readDeployedFlags, readMetric, readPeakBytes } from "./vm_metrics.ts";
 import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
@@ -33,7 +31,6 @@
 const CONTROL_INTERVAL_MS = 250;
 /** Memory of a VM in the users' example of its settings. */
 const MEMORY_BYTES = 350_000_000;
-const BYTES_PER_KIB = 1_024;
 const TEST_TIMEOUT_MS = 90_000;
 
 // Guards against a process that ends for want of memory because it takes every
@@ -204,35 +201,3 @@
     ? undefined
     : /FATAL ERROR.*/.exec(vm.log)?.[0] ?? "ended";
 }
-
-// Node's flags in the command of the deploy file.
-function readDeployedFlags(): readonly string[] {
-  const command = /^run = "node (.*) target/m.exec(
-    readFileSync("deploy/system.toml", "utf8"),
-  )?.[1];
-  if (command === undefined) {
-    throw new Error("the deploy file has no command that runs Node");
-  }
-  return command.split(" ");
-}
-
-async function readMetric(
-  vm: VmProcessHandle,
-  name: string,
-): Promise<number | undefined> {
-  try {
-    const url = `http://${vm.host}:${VM_PORTS.metrics}/metrics`;
-    const text = await (await fetch(url)).text();
-    const value = text.split("\n").find((line) =>
-      line.startsWith(`limpetford_${name} `)
-    )?.split(" ")[1];
-    return value === undefined ? undefined : Number(value);
-  } catch {
-    return undefined;
-  }
-}
-
-function readPeakBytes(vm: VmProcessHandle): number {
-  const status = readFileSync(`/proc/${vm.processId}/status`, "utf8");
-  return Number(/VmHWM:\s+(\d+) kB/.exec(status)?.[1]) * BYTES_PER_KIB;
-}
--- a/packages/standins/src/platform/raw_response.ts
+++ b/packages/standins/src/platform/raw_response.ts
@@ -12,8 +12,14 @@
    * leaves it open.
    */
   readonly end: "close" | "reset" | "none";
+  /** Bytes that follow again and again until the connection is closed. */
+  readonly repeated?: string;
 }
 
+const REPEATED_BYTES = 65_536;
+/** Repeated bytes after which the stand-in stops, if its caller still reads. */
+const MAX_REPEATED_BYTES = 60_000_000;
+
 /**
  * Writes the bytes and ends the connection as they ask for.
  *
@@ -22,9 +28,13 @@
  */
 export function writeRawResponse(
   socket: Socket,
-  { bytes, end }: RawResponse,
+  { bytes, end, repeated }: RawResponse,
 ): void {
   socket.write(bytes, () => {
+    if (repeated !== undefined) {
+      writeRepeatedly(socket, repeated);
+      return;
+    }
     switch (end) {
       case "close":
         socket.end();
@@ -37,3 +47,20 @@
     }
   });
 }
+
+function writeRepeatedly(socket: Socket, bytes: string): void {
+  const block = Buffer.from(
+    bytes.repeat(Math.ceil(REPEATED_BYTES / bytes.length)),
+  );
+  let sentBytes = 0;
+  const writeMore = (): void => {
+    while (!socket.destroyed && sentBytes < MAX_REPEATED_BYTES) {
+      sentBytes += block.length;
+      if (!socket.write(block)) {
+        socket.once("drain", writeMore);
+        return;
+      }
+    }
+  };
+  writeMore();
+}
