fix: a request that has lost too much time makes way while connections wait

What callers saw: at a VM that runs a third of the time, 795 of 849 callers waited for over a second, though no request was sent too late. Cause: the accept queue stayed as long as the timeout of its requests, as each that came out of it with a little time left was served. Ruled out: a single costly step (profile: refusals, reads and responses share the time). Change: while connections wait, the time that a request has lost counts as part of its wait, which may be half of its time.

Red before: arrival_queue_test, refuses what has lost too much time while connections wait.

--- a/packages/core/src/fairness/queue_wait_estimator.ts
+++ b/packages/core/src/fairness/queue_wait_estimator.ts
@@ -9,6 +9,13 @@
 /** Share of an entry's time that it may spend in the queue. */
 const MAX_WAIT_SHARE = 1 / 2;
 
+/** The time of an entry, in milliseconds. */
+export interface EntryTime {
+  readonly timeLeftMs: number;
+  /** Time that it has waited before and that counts as a part of its wait. */
+  readonly lostMs: number;
+}
+
 /** Decides from its rate so far which entries a queue can serve in time. */
 export class QueueWaitEstimator {
   #weight = INITIAL_WEIGHT;
@@ -41,14 +48,18 @@
   }
 
   /**
-   * Decides whether an entry has time to wait for its turn. Of what it has left,
-   * a part remains for being served.
+   * Decides whether an entry has time to wait for its turn. Of its time, a part
+   * remains for being served.
    *
    * @param ahead - number of entries before it
-   * @param timeLeftMs - time in which it has to be served, in milliseconds
+   * @param time - time in which it has to be served, in milliseconds
    * @returns false if it is to be refused
    */
-  mayWait(ahead: number, timeLeftMs: number): boolean {
-    return this.estimateMs(ahead) <= timeLeftMs * MAX_WAIT_SHARE;
+  mayWait(ahead: number, { timeLeftMs, lostMs }: EntryTime): boolean {
+    if (timeLeftMs === Infinity) {
+      return true;
+    }
+    const allowedMs = (lostMs + timeLeftMs) * MAX_WAIT_SHARE;
+    return lostMs + this.estimateMs(ahead) <= allowedMs;
   }
 }
--- a/packages/core/src/fairness/queue_wait_estimator_test.ts
+++ b/packages/core/src/fairness/queue_wait_estimator_test.ts
@@ -17,9 +17,15 @@
     expect(estimates).toEqual([100, 1_500, 1_917, 1_997]);
   });
 
-  it("lets those wait that have half of their time left for being served", () => {
-    expect([0, 500, 501].map((ahead) => estimator.mayWait(ahead, 1_000)))
-      .toEqual([true, true, false]);
-    expect(estimator.mayWait(1, 0)).toBe(false);
+  it.each([
+    { timeLeftMs: 1_000, lostMs: 0, longest: 500 },
+    { timeLeftMs: 700, lostMs: 300, longest: 200 },
+    { timeLeftMs: 400, lostMs: 600, longest: -1 },
+    { timeLeftMs: 0, lostMs: 0, longest: 0 },
+    { timeLeftMs: Infinity, lostMs: Infinity, longest: 999 },
+  ])("lets an entry wait for half of its time: %j", ({ longest, ...time }) => {
+    const allowed = Array.from({ length: 1_000 }, (_, ahead) => ahead)
+      .filter((ahead) => estimator.mayWait(ahead, time));
+    expect(allowed).toHaveLength(longest + 1);
   });
 });
--- a/packages/entry/src/dialect/native_dialect.ts
+++ b/packages/entry/src/dialect/native_dialect.ts
@@ -7,7 +7,7 @@
 import type { Result } from "@limpetford/domain/result";
 
 import type { RequestContext } from "../ports/request_context.ts";
-import type { Arrival } from "../serving/arrival.ts";
+import type { Arrival, RequestTimes } from "../serving/arrival.ts";
 import type { ResponseHead } from "../serving/attempt_listener.ts";
 import type { AttemptRequest } from "../serving/attempt_message.ts";
 import {
@@ -20,7 +20,7 @@
 import {
   type Admission,
   admitRequest,
-  findDeadlineMs,
+  estimateRequestTimes,
 } from "../serving/request_admission.ts";
 import type { OutboundRequest } from "../serving/response_receiver.ts";
 import type { ServingPorts } from "../serving/serving_ports.ts";
@@ -86,8 +86,11 @@
     return admitRequest(this.#ports.configuration, request, arrival);
   }
 
-  override findDeadlineMs(request: IncomingMessage, arrival: Arrival): number {
-    return findDeadlineMs(this.#ports.configuration, request, arrival);
+  override estimateTimes(
+    request: IncomingMessage,
+    arrival: Arrival,
+  ): RequestTimes {
+    return estimateRequestTimes(this.#ports.configuration, request, arrival);
   }
 
   override isClaimed(context: RequestContext): boolean {
--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -20,7 +20,13 @@
 } from "@limpetford/platform/store/http_headers";
 
 import type { FleetState } from "../fleet/fleet_state.ts";
-import { type Arrival, estimateArrivalMs } from "../serving/arrival.ts";
+import {
+  type Arrival,
+  estimateArrivalMs,
+  estimateTimes,
+  type RequestTimes,
+  UNLIMITED_TIMES,
+} from "../serving/arrival.ts";
 import type { ResponseHead } from "../serving/attempt_listener.ts";
 import type { AttemptRequest } from "../serving/attempt_message.ts";
 import { hashCallerKey, type PresentedKey } from "../serving/caller_key.ts";
@@ -146,15 +152,16 @@
     });
   }
 
-  override findDeadlineMs(request: IncomingMessage, arrival: Arrival): number {
+  override estimateTimes(
+    request: IncomingMessage,
+    arrival: Arrival,
+  ): RequestTimes {
     const head = parseCallerHeaders(request.headers);
     const path = parsePath(request.url ?? "");
     const route = this.#state.findHostRoute(head.host, path);
-    if (route === undefined) {
-      return Infinity;
-    }
-    const timeoutMs = computeTimeoutMs(route, head);
-    return estimateArrivalMs(arrival, timeoutMs) + timeoutMs;
+    return route === undefined
+      ? UNLIMITED_TIMES
+      : estimateTimes(arrival, computeTimeoutMs(route, head));
   }
 
   override isClaimed(): boolean {
--- a/packages/entry/src/dialect/serving_dialect.ts
+++ b/packages/entry/src/dialect/serving_dialect.ts
@@ -10,7 +10,7 @@
 
 import type { RequestContext } from "../ports/request_context.ts";
 import type { AttemptOutcome } from "../ports/server_router.ts";
-import type { Arrival } from "../serving/arrival.ts";
+import type { Arrival, RequestTimes } from "../serving/arrival.ts";
 import type { ResponseHead } from "../serving/attempt_listener.ts";
 import type { AttemptRequest } from "../serving/attempt_message.ts";
 import type { CallerExchange } from "../serving/caller_exchange.ts";
@@ -111,13 +111,16 @@
   ): Result<Admission, Refusal>;
 
   /**
-   * Finds the time until which a request can be served, before it is admitted.
+   * Estimates the time in which a request can be served, before it is admitted.
    *
    * @param request - the caller's request
    * @param arrival - time of arrival
-   * @returns monotonic milliseconds; infinite if it is not limited or not known
+   * @returns the time; without limits if it is not known
    */
-  abstract findDeadlineMs(request: IncomingMessage, arrival: Arrival): number;
+  abstract estimateTimes(
+    request: IncomingMessage,
+    arrival: Arrival,
+  ): RequestTimes;
 
   /**
    * Checks whether a request must be claimed in the idempotency ledger before
--- a/packages/entry/src/serving/arrival.ts
+++ b/packages/entry/src/serving/arrival.ts
@@ -24,6 +24,33 @@
   readonly forwarding?: ForwardingTerms | undefined;
 }
 
+/** The time in which a request can be served, in monotonic milliseconds. */
+export interface RequestTimes {
+  readonly arrivedAtMs: number;
+  readonly deadlineAtMs: number;
+}
+
+/** Times of a request whose timeout is not known. */
+export const UNLIMITED_TIMES: RequestTimes = {
+  arrivedAtMs: -Infinity,
+  deadlineAtMs: Infinity,
+};
+
+/**
+ * Estimates the time in which a request can be served.
+ *
+ * @param arrival - when it was read, and how long it is likely to have lain unread
+ * @param timeoutMs - time that the caller and its route give it, in milliseconds
+ * @returns when it arrived, and when its time is up
+ */
+export function estimateTimes(
+  arrival: Arrival,
+  timeoutMs: number,
+): RequestTimes {
+  const arrivedAtMs = estimateArrivalMs(arrival, timeoutMs);
+  return { arrivedAtMs, deadlineAtMs: arrivedAtMs + timeoutMs };
+}
+
 /**
  * Estimates when a request arrived, from which its caller's time counts.
  *
--- a/packages/entry/src/serving/arrival_queue.ts
+++ b/packages/entry/src/serving/arrival_queue.ts
@@ -5,6 +5,7 @@
 
 import type { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
+import type { RequestTimes } from "./arrival.ts";
 
 /**
  * Longest time for which a caller's close or a response may have lain unread when a
@@ -28,14 +29,14 @@
   readonly run: () => void;
   /** Refuses it, with the time in which the VM gets through its queue. */
   readonly refuse: (retryAfterMs: number) => void;
-  /** Finds the time until which it can be served, in monotonic milliseconds. */
-  readonly findDeadlineMs: () => number;
+  /** Estimates the time in which it can be served. */
+  readonly estimateTimes: () => RequestTimes;
 }
 
 interface QueuedRequest {
   readonly request: ReadRequest;
   readonly queuedAtMs: number;
-  readonly deadlineAtMs: number;
+  readonly times: RequestTimes;
   /** Number of the turn in which it was queued. */
   readonly turn: number;
 }
@@ -96,20 +97,21 @@
   begin(request: ReadRequest): void {
     const nowMs = this.#clock.readMonotonicMs();
     this.#observeTurn(nowMs);
-    if (
-      this.#requests.length === 0 && !this.#mayBeUnread() &&
-      nowMs - this.#turnStartedAtMs <= TURN_BUDGET_MS
-    ) {
+    const ahead = this.#requests.length;
+    const isFirst = ahead === 0 && !this.#mayBeUnread() &&
+      nowMs - this.#turnStartedAtMs <= TURN_BUDGET_MS;
+    if (isFirst && !this.#acceptQueue.isBusy) {
       request.run();
       return;
     }
-    const deadlineAtMs = request.findDeadlineMs();
-    const ahead = this.#requests.length;
-    if (this.#waits.mayWait(ahead, deadlineAtMs - nowMs)) {
-      const turn = this.#turn;
-      this.#requests.push({ request, queuedAtMs: nowMs, deadlineAtMs, turn });
-    } else {
+    const times = request.estimateTimes();
+    if (!this.#mayWait(ahead, times, nowMs)) {
       request.refuse(this.#waits.estimateMs(ahead));
+    } else if (isFirst) {
+      request.run();
+    } else {
+      const turn = this.#turn;
+      this.#requests.push({ request, queuedAtMs: nowMs, times, turn });
     }
   }
 
@@ -133,6 +135,16 @@
     return this.#loop.maxUnreadMs > MAX_UNREAD_MS;
   }
 
+  // While connections wait, those behind have waited as long: who has lost too much
+  // time makes way for them, or all would be served when their time is nearly up.
+  #mayWait(ahead: number, times: RequestTimes, nowMs: number): boolean {
+    const { arrivedAtMs, deadlineAtMs } = times;
+    return this.#waits.mayWait(ahead, {
+      timeLeftMs: deadlineAtMs - nowMs,
+      lostMs: this.#acceptQueue.isBusy ? nowMs - arrivedAtMs : 0,
+    });
+  }
+
   #observeTurn(nowMs: number): void {
     this.#loop.observeTurn();
     if (this.#isTurnObserved) {
@@ -182,10 +194,7 @@
     while (nowMs - startedAtMs < REFUSAL_BUDGET_MS) {
       const ahead = this.#requests.length - 1;
       const last = this.#requests[ahead];
-      if (
-        last === undefined ||
-        this.#waits.mayWait(ahead, last.deadlineAtMs - nowMs)
-      ) {
+      if (last === undefined || this.#mayWait(ahead, last.times, nowMs)) {
         return;
       }
       this.#requests.pop();
--- a/packages/entry/src/serving/arrival_queue_test.ts
+++ b/packages/entry/src/serving/arrival_queue_test.ts
@@ -35,14 +35,17 @@
   });
 
   // Begins a request, which takes some time.
-  function begin(name: string, takesMs = 0): void {
+  function begin(name: string, takesMs = 0, lostMs = 0): void {
     queue.begin({
       run: () => {
         begun.push(name);
         clock.advance(takesMs);
       },
       refuse: () => refused.push(name),
-      findDeadlineMs: () => clock.readMonotonicMs() + TIMEOUT_MS,
+      estimateTimes: () => {
+        const arrivedAtMs = clock.readMonotonicMs() - lostMs;
+        return { arrivedAtMs, deadlineAtMs: arrivedAtMs + TIMEOUT_MS };
+      },
     });
   }
 
@@ -86,6 +89,19 @@
     expect(refused[0]).toBe("request-501");
   });
 
+  // Guards against an accept queue that stays as long as the timeout of its requests.
+  it("refuses what has lost too much time while connections wait", () => {
+    acceptQueue.isBusy = true;
+    begin("fresh", 0, 400);
+    begin("late", 0, 600);
+    acceptQueue.isBusy = false;
+    begin("last", 0, 600);
+    expect({ begun, refused }).toEqual({
+      begun: ["fresh", "last"],
+      refused: ["late"],
+    });
+  });
+
   it("refuses the last ones when requests take longer than before", async () => {
     clock.advance(HELD_UP_MS);
     for (let index = 0; index < 100; index++) {
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -14,6 +14,7 @@
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
 import { closeBehindBody } from "../http/close_behind_body.ts";
 import type { ReplayableResponse } from "../ports/idempotency_ledger.ts";
+import { type RequestTimes, UNLIMITED_TIMES } from "./arrival.ts";
 import type { Refusal } from "./refusal.ts";
 import { hasBody } from "./response_framing.ts";
 import { ResponseWriter } from "./response_writer.ts";
@@ -116,16 +117,16 @@
   }
 
   /**
-   * Finds the time until which the request can be served, before it is admitted.
+   * Estimates the time in which the request can be served, before it is admitted.
    *
-   * @returns monotonic milliseconds; infinite if it is not limited or not known
+   * @returns the time; without limits if it is not known
    */
-  findDeadlineMs(): number {
+  estimateTimes(): RequestTimes {
     try {
-      return this.#options.dialect.findDeadlineMs(this.request, this);
+      return this.#options.dialect.estimateTimes(this.request, this);
     } catch {
       // What is thrown here, the admission throws again.
-      return Infinity;
+      return UNLIMITED_TIMES;
     }
   }
 
--- a/packages/entry/src/serving/request_admission.ts
+++ b/packages/entry/src/serving/request_admission.ts
@@ -10,7 +10,13 @@
 import { HEADER } from "../dialect/header_names.ts";
 import type { ConfigurationSource } from "../ports/configuration_source.ts";
 import type { RequestContext } from "../ports/request_context.ts";
-import { type Arrival, estimateArrivalMs } from "./arrival.ts";
+import {
+  type Arrival,
+  estimateArrivalMs,
+  estimateTimes,
+  type RequestTimes,
+  UNLIMITED_TIMES,
+} from "./arrival.ts";
 import {
   hasCallerKey,
   parseCallerKey,
@@ -89,26 +95,24 @@
 }
 
 /**
- * Finds the time until which a request can be served, before it is admitted.
+ * Estimates the time in which a request can be served, before it is admitted.
  *
  * @param configuration - routes with their timeouts
  * @param request - request whose body has not been read
  * @param arrival - time of arrival
- * @returns monotonic milliseconds; infinite without a route or a valid timeout
+ * @returns the time; unlimited without a route or a valid timeout
  */
-export function findDeadlineMs(
+export function estimateRequestTimes(
   configuration: ConfigurationSource,
   request: IncomingMessage,
   arrival: Arrival,
-): number {
+): RequestTimes {
   const [path = ""] = (request.url ?? "").split("?", 1);
   const route = configuration.findRoute(request.method ?? "GET", path);
   const givenMs = parseTimeout(request.headers[HEADER.requestTimeoutMs]);
-  if (route === undefined || givenMs === undefined) {
-    return Infinity;
-  }
-  const timeoutMs = Math.min(givenMs, route.deadlineMs);
-  return estimateArrivalMs(arrival, timeoutMs) + timeoutMs;
+  return route === undefined || givenMs === undefined
+    ? UNLIMITED_TIMES
+    : estimateTimes(arrival, Math.min(givenMs, route.deadlineMs));
 }
 
 /**
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -169,7 +169,7 @@
         this.#refuseBusy(exchange, Math.max(MIN_RETRY_MS, retryAfterMs));
         void release();
       },
-      findDeadlineMs: () => exchange.findDeadlineMs(),
+      estimateTimes: () => exchange.estimateTimes(),
     });
   }
 
