fix: a probe of the accept queue that is not recognized says nothing once the queue is empty

Now probes are forgotten when a turn accepted nothing, and an IPv4 address with the prefix of IPv6 is recognized. Red before: accept_queue_monitor_test, forgets those that were not recognized.

--- a/packages/entry/src/vm/accept_queue_monitor.ts
+++ b/packages/entry/src/vm/accept_queue_monitor.ts
@@ -138,7 +138,10 @@
     this.#probes = [];
   }
 
+  // Whatever was in the queue has been accepted, so a probe that was not recognized
+  // says nothing.
   #startBusyTime(nowMs: number): void {
+    this.close();
     this.#isQueueBusy = true;
     this.#busySinceMs = nowMs;
     this.#longestUnreadMs = 0;
--- a/packages/entry/src/vm/accept_queue_monitor_test.ts
+++ b/packages/entry/src/vm/accept_queue_monitor_test.ts
@@ -125,6 +125,18 @@
       expect(probes.length).toBeLessThan(25);
     });
 
+    // Guards against bounds that grow for good if a probe is not recognized.
+    it("forgets those that were not recognized when the queue was empty", async () => {
+      for (let turn = 0; turn < 50; turn++) {
+        await acceptInTurn();
+      }
+      await waitTurn();
+      await waitTurn();
+      clock.advance(5_000);
+      expect(await acceptInTurn()).toEqual([0, 0]);
+      expect(probes.every(({ isClosed }) => isClosed)).toBe(true);
+    });
+
     it("opens none while connections come one by one", async () => {
       for (let turn = 0; turn < 20; turn++) {
         await acceptInTurn();
--- a/packages/entry/src/vm/tcp_queue_probe.ts
+++ b/packages/entry/src/vm/tcp_queue_probe.ts
@@ -41,9 +41,11 @@
   }
 
   override isOtherEnd(socket: Duplex): boolean {
-    return socket instanceof net.Socket &&
-      socket.remotePort === this.#socket.localPort &&
-      socket.remoteAddress === this.#socket.localAddress;
+    const { localAddress, localPort } = this.#socket;
+    // A server that listens with IPv6 may see IPv4 addresses with a prefix.
+    return socket instanceof net.Socket && localAddress !== undefined &&
+      socket.remotePort === localPort &&
+      socket.remoteAddress?.endsWith(localAddress) === true;
   }
 
   override close(): void {
