test: a refusal that a server writes once more when its request comes again

Hypothesis 1 holds: a server that is announced under two identifiers (the entry of its former start) refuses with 421, and the retry goes to the same process over the connection that has just brought the 421.

--- a/packages/standins/src/fleet/repeated_refusal_test.ts
+++ b/packages/standins/src/fleet/repeated_refusal_test.ts
@@ -2,7 +2,7 @@
 import {
   REPEATED_REFUSAL,
   type RepeatedRefusal,
-} from "../platform/server_standin.ts";
+} from "../platform/repeated_refusal.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
--- a/packages/standins/src/platform/server_standin.ts
+++ b/packages/standins/src/platform/server_standin.ts
@@ -9,11 +9,18 @@
 
 import { PROTOCOL_HEADER } from "./protocol_names.ts";
 import { type RawResponse, writeRawResponse } from "./raw_response.ts";
+import {
+  REPEATED_REFUSAL,
+  type RepeatedRefusal,
+  SentRefusals,
+} from "./repeated_refusal.ts";
 
 const STATUS_OK = 200;
 const STATUS_MISDIRECTED = 421;
 const STATUS_ERROR = 500;
 const STATUS_UNAVAILABLE = 503;
+const MISDIRECTED_LINE = "421 Misdirected Request";
+const UNAVAILABLE_LINE = "503 Service Unavailable";
 
 /** Ways in which the stand-in handles a request. */
 export const SERVER_BEHAVIOR = {
@@ -54,22 +61,6 @@
   readonly receivedAtMs: number;
 }
 
-/** Forms in which the stand-in writes an earlier refusal once more. */
-export const REPEATED_REFUSAL = {
-  none: "none",
-  /** As it was sent, with the identifier of the earlier request. */
-  identified: "identified",
-  /** As `identified`, in one packet with the response to the next request. */
-  joined: "joined",
-  /** Without the identifier of any request. */
-  anonymous: "anonymous",
-  /** The refusal has the identifier of its request, the copy has none. */
-  stripped: "stripped",
-} as const;
-/** One of the forms in `REPEATED_REFUSAL`. */
-export type RepeatedRefusal =
-  typeof REPEATED_REFUSAL[keyof typeof REPEATED_REFUSAL];
-
 /** Requests that crash the server, and how long a crash lasts. */
 export interface CrashBehavior {
   /** Checks whether a request that begins to run crashes the server. */
@@ -105,7 +96,7 @@
    * Chooses the Retry-After of a response that turns the request away; undefined
    * to run the request.
    */
-  chooseRetryAfter: (() => string | undefined) | undefined;
+  chooseRetryAfter: ((target: string) => string | undefined) | undefined;
   /**
    * Form in which the last refusal of a connection is written once more as the
    * next request on it begins to run.
@@ -120,8 +111,7 @@
   /** Wall-clock times of the crashes so far, in milliseconds. */
   readonly crashedAtMs: number[] = [];
   readonly #sockets = new Set<Socket>();
-  /** Identifier of the last request that was refused on each connection. */
-  readonly #refusedIds = new WeakMap<Socket, string>();
+  readonly #refusals = new SentRefusals();
   readonly #server = http.createServer((request, response) => {
     void this.#handleRequest(request, response);
   });
@@ -254,7 +244,9 @@
     }
     const expected = request.headers["expected-instance"];
     const isMisdirected = expected !== undefined && expected !== this.id;
-    const retryAfter = isMisdirected ? undefined : this.chooseRetryAfter?.();
+    const retryAfter = isMisdirected
+      ? undefined
+      : this.chooseRetryAfter?.(request.url ?? "");
     const behavior = retryAfter === undefined
       ? this.behavior
       : SERVER_BEHAVIOR.shed;
@@ -268,10 +260,15 @@
     };
     this.received.push(received);
     if (isMisdirected) {
+      const id = String(request.headers["request-id"]);
+      this.#refusals.record(request.socket, {
+        statusLine: MISDIRECTED_LINE,
+        id,
+      });
       response.writeHead(STATUS_MISDIRECTED, {
         "instance-id": this.id,
         "not-executed": "1",
-        "request-id": String(request.headers["request-id"]),
+        "request-id": id,
       });
       response.end();
       return;
@@ -288,30 +285,13 @@
       return;
     }
     if (received.hasRun) {
-      this.#writeRefusalAgain(request.socket);
+      this.#refusals.writeAgain(request.socket, this.repeatedRefusal);
     }
     await new Promise((resolve) => setTimeout(resolve, this.processingMs));
     this.#writeResponse({ behavior, retryAfter }, request, response);
     request.socket.uncork();
   }
 
-  #writeRefusalAgain(socket: Socket): void {
-    const id = this.#refusedIds.get(socket);
-    if (id === undefined || this.repeatedRefusal === REPEATED_REFUSAL.none) {
-      return;
-    }
-    const hasId = this.repeatedRefusal === REPEATED_REFUSAL.identified ||
-      this.repeatedRefusal === REPEATED_REFUSAL.joined;
-    const idLine = hasId ? `request-id: ${id}\r\n` : "";
-    if (this.repeatedRefusal === REPEATED_REFUSAL.joined) {
-      socket.cork();
-    }
-    socket.write(
-      "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n" +
-        `${idLine}content-length: 0\r\n\r\n`,
-    );
-  }
-
   #writeResponse(
     { behavior, retryAfter }: ChosenResponse,
     request: http.IncomingMessage,
@@ -345,7 +325,10 @@
         response.end("failed");
         break;
       case "shed":
-        this.#refusedIds.set(request.socket, head["request-id"]);
+        this.#refusals.record(request.socket, {
+          statusLine: UNAVAILABLE_LINE,
+          id: head["request-id"],
+        });
         response.writeHead(STATUS_UNAVAILABLE, {
           "not-executed": "1",
           ...this.repeatedRefusal === REPEATED_REFUSAL.anonymous
--- a/packages/standins/src/platform/tcp_fault_proxy.ts
+++ b/packages/standins/src/platform/tcp_fault_proxy.ts
@@ -58,7 +58,16 @@
     });
     const { port } = this.#server.address() as net.AddressInfo;
     this.#port = port;
-    return { host: this.#host, port };
+    return this.address;
+  }
+
+  /**
+   * Address that the proxy listens on.
+   *
+   * @returns host and port; port 0 before `start`
+   */
+  get address(): SocketAddress {
+    return { host: this.#host, port: this.#port };
   }
 
   /**
