feat: the end of an attempt names its connection in the log

The hypotheses could not be told apart: `attempt-ended` named neither the attempt nor the connection that it went over, nor whether copies of earlier responses came first. It names the attempt, the connection's number, how many requests that had carried before, and the copies that were dropped; lines of forwarded requests do so too.

--- a/packages/core/src/evidence/attempt_sample.ts
+++ b/packages/core/src/evidence/attempt_sample.ts
@@ -19,6 +19,16 @@
   /** The caller disconnected, or a hedged request was faster. */
   | "cancelled";
 
+/** Connection that an attempt was sent over. */
+export interface AttemptConnection {
+  /** Number of the connection; unique within its pool. */
+  readonly number: number;
+  /** Requests that it had carried before. */
+  readonly requestsBefore: number;
+  /** Copies of responses to these that came before the attempt's own response. */
+  readonly copies: number;
+}
+
 /** Measurements of one attempt. */
 export interface AttemptSample {
   readonly outcome: AttemptOutcome;
@@ -40,4 +50,6 @@
   readonly unreadMs?: number | undefined;
   /** False if the request was certainly not sent; absent if not known. */
   readonly wasSent?: boolean;
+  /** Absent if the attempt was not begun. */
+  readonly connection?: AttemptConnection;
 }
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -207,12 +207,17 @@
   },
   "attempt-ended": {
     level: "info",
-    meaning: "an attempt at a backend server ended",
+    meaning:
+      "an attempt at a backend server or another VM ended; it went over the connection of this number (0 if none was opened), which had carried `requestsBefore` others, and `copies` of earlier responses came before its own",
     fields: {
       request: "text",
+      attempt: "number",
       server: "text",
       outcome: "text",
       totalMs: "number",
+      connection: "number",
+      requestsBefore: "number",
+      copies: "number",
     },
   },
   "retry-denied": {
--- a/packages/entry/src/fleet/placement_log.ts
+++ b/packages/entry/src/fleet/placement_log.ts
@@ -12,6 +12,7 @@
 import { readServiceId } from "./demand_builder.ts";
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetState } from "./fleet_state.ts";
+import type { LogEventFields } from "./log_events.ts";
 import type { TokenVerdict } from "./server_token_client.ts";
 
 /** Dependencies of a {@link PlacementLog}. */
@@ -128,21 +129,41 @@
     sample: AttemptSample,
   ): void {
     const { log } = this.#options;
-    const line = {
-      request: request.context.id,
-      server: slot.server.announced.id,
-      outcome: sample.outcome,
-    };
-    log.record("attempt-ended", {
-      ...line,
-      totalMs: Math.round(sample.totalMs),
-    });
+    const server = slot.server.announced.id;
+    log.record("attempt-ended", describeEnd(request, server, sample));
     if (sample.unreadMs !== undefined) {
       log.record("response-unsized", {
-        ...line,
+        request: request.context.id,
+        server,
+        outcome: sample.outcome,
         bytes: sample.answerBytes,
         unreadMs: Math.round(sample.unreadMs),
       });
     }
   }
 }
+
+/**
+ * Describes the end of an attempt.
+ *
+ * @param request - the request
+ * @param server - the backend server or the VM that it went to
+ * @param sample - outcome, duration and connection of the attempt
+ * @returns fields of the event `attempt-ended`
+ */
+export function describeEnd(
+  { context, attempt }: PlacementRequest,
+  server: string,
+  { outcome, totalMs, connection }: AttemptSample,
+): LogEventFields["attempt-ended"] {
+  return {
+    request: context.id,
+    attempt,
+    server,
+    outcome,
+    totalMs: Math.round(totalMs),
+    connection: connection?.number ?? 0,
+    requestsBefore: connection?.requestsBefore ?? 0,
+    copies: connection?.copies ?? 0,
+  };
+}
--- a/packages/entry/src/fleet/request_forwarder.ts
+++ b/packages/entry/src/fleet/request_forwarder.ts
@@ -16,6 +16,7 @@
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { FleetState } from "./fleet_state.ts";
+import { describeEnd } from "./placement_log.ts";
 import type { ServiceBalancers } from "./service_balancers.ts";
 import type { ZoneTraffic } from "./zone_traffic.ts";
 
@@ -136,12 +137,10 @@
 
   #recordEnd(request: PlacementRequest, vm: Vm, sample: AttemptSample): void {
     const { log, traffic, peers } = this.#options;
-    log.record("attempt-ended", {
-      request: request.context.id,
-      server: vm.incarnation.vm,
-      outcome: sample.outcome,
-      totalMs: Math.round(sample.totalMs),
-    });
+    log.record(
+      "attempt-ended",
+      describeEnd(request, vm.incarnation.vm, sample),
+    );
     traffic.recordAttempt(vm, sample);
     if (sample.outcome === "connect-failed") {
       peers.markSuspected(vm);
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -15,7 +15,7 @@
   findResponseOwner,
   RESPONSE_OWNER,
 } from "./attempt_message.ts";
-import type { BackendConnection } from "./backend_connection.ts";
+import type { BackendConnection, ConnectionUse } from "./backend_connection.ts";
 import { EarlierCopies } from "./earlier_copies.ts";
 import type { ReadFlowOptions } from "./read_flow.ts";
 import {
@@ -46,7 +46,7 @@
   readonly #clock: Clock;
   readonly #listener: AttemptListener;
   readonly #guard: StepGuard;
-  readonly #wasConnectionReused: boolean;
+  readonly #connectionUse: ConnectionUse;
   readonly #copies = new EarlierCopies();
   #startedAtMs = 0;
   #sentAtMs: number | undefined;
@@ -84,7 +84,7 @@
     this.#guard = buildAttemptGuard(options.exceptions, () => {
       this.#reportBreak();
     });
-    this.#wasConnectionReused = connection.servedCount > 0;
+    this.#connectionUse = connection.describeUse();
   }
 
   /**
@@ -154,10 +154,11 @@
       outcome,
       firstByteMs,
       totalMs: this.#clock.readMonotonicMs() - this.#startedAtMs,
-      wasConnectionReused: this.#wasConnectionReused,
+      wasConnectionReused: this.#connectionUse.requestsBefore > 0,
       answerBytes: this.#responseBytes,
       unreadMs: this.#unsizedBody?.unreadMs,
       wasSent: this.mayHaveRun,
+      connection: { ...this.#connectionUse, copies: this.#copies.count },
     };
   }
 
@@ -218,8 +219,7 @@
       (this.#unsizedBody === undefined || request.mayEndWithConnection);
     const head = { status, headers };
     const isNamed = this.#connection.checkNamed(request.identity, head);
-    const isProven = !this.#isSuccess ||
-      request.isProven(head);
+    const isProven = !this.#isSuccess || request.isProven(head);
     if (
       owner === RESPONSE_OWNER.other || !isDelimited || !isProven ||
       !isNamed || this.#hasHead
--- a/packages/entry/src/serving/backend_connection.ts
+++ b/packages/entry/src/serving/backend_connection.ts
@@ -2,6 +2,7 @@
 
 import type { Socket } from "node:net";
 
+import type { AttemptConnection } from "@limpetford/core/evidence/attempt_sample";
 import { formatAddress, type SocketAddress } from "@limpetford/domain/vm";
 import type { Client, Dispatcher } from "undici";
 
@@ -19,8 +20,16 @@
 /** Prefix of the error codes of undici itself. */
 const CLIENT_CODE_PREFIX = "UND_ERR_";
 
+/** Use of a connection by one attempt, as it begins. */
+export type ConnectionUse = Pick<
+  AttemptConnection,
+  "number" | "requestsBefore"
+>;
+
 /** What a connection asks of its pool. */
 export interface ConnectionOwner {
+  /** Issues the number of a new connection. */
+  readonly issueNumber: () => number;
   /** Takes a connection back that may serve another request. */
   readonly release: (connection: BackendConnection) => void;
   /** Finds out whether an idle connection to the same server is that old. */
@@ -52,6 +61,7 @@
   #hasNamed = false;
   /** Monotonic time of the last release, in milliseconds. */
   idleSinceMs = 0;
+  readonly #number: number;
   readonly #owner: ConnectionOwner;
 
   /**
@@ -66,6 +76,16 @@
     this.address = formatAddress(target);
     this.client = client;
     this.#owner = owner;
+    this.#number = owner.issueNumber();
+  }
+
+  /**
+   * Describes the connection to the attempt that is about to use it.
+   *
+   * @returns number of the connection, and of the requests that it has carried
+   */
+  describeUse(): ConnectionUse {
+    return { number: this.#number, requestsBefore: this.servedCount };
   }
 
   /**
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -50,11 +50,13 @@
   readonly #noReuseUntilMs = new Map<string, number>();
   readonly #clock: Clock;
   readonly #owner: ConnectionOwner = {
+    issueNumber: () => ++this.#lastNumber,
     release: (connection) => {
       this.#keepIdle(connection);
     },
     hasIdleSince: (address, beforeMs) => this.#hasIdleSince(address, beforeMs),
   };
+  #lastNumber = 0;
   #isClosed = false;
 
   /**
--- a/packages/entry/src/serving/earlier_copies.ts
+++ b/packages/entry/src/serving/earlier_copies.ts
@@ -21,6 +21,15 @@
     return this.#count > 0;
   }
 
+  /**
+   * Copies that have begun.
+   *
+   * @returns number of copies
+   */
+  get count(): number {
+    return this.#count;
+  }
+
   /**
    * Whether a copy is being received.
    *
