fix: a connection never carries the same identifier twice

Cause: an identifier that is not unique to one sending was taken for proof. A response was the attempt's own as soon as its identifier was equal, before anything asked whether the connection had brought a response to this identifier already, and a connection remembered its last eight requests only. A retry leaves out servers by identifier, while connections are kept by address: after a 421 of a process that is announced under two identifiers, the same request went over the same connection again. So did one that its caller sent again. The server's copy of the first refusal then was the response.

A response whose identifier came twice all the same belongs to nobody (502, which promises nothing).

--- a/packages/entry/src/fakes/backend_exchange.ts
+++ b/packages/entry/src/fakes/backend_exchange.ts
@@ -72,6 +72,8 @@
   readonly verifyServer?: () => Promise<boolean>;
   /** Recognizes a refusal; none by default. */
   readonly isRefusal?: NonNullable<ResponseIdentity["isRefusal"]>;
+  /** Identifier of all requests; by default each has its own. */
+  readonly id?: string;
   /** What differs from a request that is sent as it is. */
   readonly request?: Partial<AttemptRequest>;
   /** Receives what the attempts' steps throw; not reported by default. */
@@ -114,7 +116,8 @@
   const pool = new BackendConnectionPool(new SystemClock());
   const ends: AttemptEnd[] = [];
   for (const index of answers.keys()) {
-    ends.push(await sendOnce({ pool, port, id: String(index) }, options));
+    const id = options.id ?? String(index);
+    ends.push(await sendOnce({ pool, port, id }, options));
   }
   await pool.close();
   await new Promise((resolve) => server.close(resolve));
@@ -148,7 +151,7 @@
   options: ExchangeOptions,
 ): Promise<AttemptEnd> {
   const { buildListener, timeoutMs, verifyServer, exceptions } = options;
-  const connection = pool.acquire({ host: "127.0.0.1", port });
+  const connection = pool.acquire({ host: "127.0.0.1", port }, id);
   const listener = buildListener?.(connection) ?? new EndListener();
   const attempt = new BackendAttempt(
     {
--- a/packages/entry/src/serving/attempt_exceptions_test.ts
+++ b/packages/entry/src/serving/attempt_exceptions_test.ts
@@ -166,7 +166,7 @@
       handleIdleLost: runFault,
       exceptions,
     });
-    const connection = pool.acquire({ host: "127.0.0.1", port: 9 });
+    const connection = pool.acquire({ host: "127.0.0.1", port: 9 }, "1");
     connection.release("r", 0);
     connection.client.emit(
       "disconnect",
--- a/packages/entry/src/serving/attempt_message.ts
+++ b/packages/entry/src/serving/attempt_message.ts
@@ -3,6 +3,7 @@
 import type { Readable } from "node:stream";
 
 import type { ResponseHead } from "./attempt_listener.ts";
+import type { AnsweredRequests } from "./connection_history.ts";
 
 const STATUS_LINE = /HTTP\/1\.[01] [1-5][0-9]{2}/;
 
@@ -30,7 +31,8 @@
 
 /** Identifier that a response to an attempt bears. */
 export interface ResponseIdentity {
-  readonly id: string;
+  /** Undefined if responses name none. */
+  readonly id: string | undefined;
   /** Reads the identifier of a response; undefined if it bears none. */
   readonly readId: (headers: ResponseHead["headers"]) => string | undefined;
   /**
@@ -61,31 +63,33 @@
  *
  * @param identity - identifier that the response should bear
  * @param headers - headers of the response
- * @param answeredIds - identifiers of requests that were answered before on the
- * same connection, the oldest first
- * @returns the attempt unless the response bears another identifier, or, on a
- * connection that has brought others, none or a status line within a header
+ * @param answered - requests that were answered before on the same connection
+ * @returns the attempt if the response bears its identifier and no earlier request
+ * had it; or if it bears none, unless it has to, or its connection has brought
+ * others and a status line stands within a header
  */
 export function findResponseOwner(
   { id, readId, isAlwaysNamed }: ResponseIdentity,
   headers: ResponseHead["headers"],
-  answeredIds: readonly string[],
+  answered: AnsweredRequests,
 ): ResponseOwner {
-  if (answeredIds.length > 0 && Object.values(headers).some(hasStatusLine)) {
+  if (answered.size > 0 && Object.values(headers).some(hasStatusLine)) {
     return RESPONSE_OWNER.other;
   }
   const responseId = readId(headers);
   if (responseId === undefined) {
-    return isAlwaysNamed && answeredIds.length > 0
+    return isAlwaysNamed && answered.size > 0
       ? RESPONSE_OWNER.other
       : RESPONSE_OWNER.attempt;
   }
-  if (responseId === id) {
-    return RESPONSE_OWNER.attempt;
+  if (responseId !== id) {
+    return answered.has(responseId)
+      ? RESPONSE_OWNER.earlier
+      : RESPONSE_OWNER.other;
   }
-  return answeredIds.includes(responseId)
-    ? RESPONSE_OWNER.earlier
-    : RESPONSE_OWNER.other;
+  return answered.has(responseId)
+    ? RESPONSE_OWNER.other
+    : RESPONSE_OWNER.attempt;
 }
 
 // A copy of an earlier response that breaks off within a header swallows the status
--- a/packages/entry/src/serving/attempt_message_test.ts
+++ b/packages/entry/src/serving/attempt_message_test.ts
@@ -1,5 +1,7 @@
 import { findResponseOwner, RESPONSE_OWNER } from "./attempt_message.ts";
 
+const ANSWERED = new Set(["first", "second"]);
+
 describe("findResponseOwner", () => {
   const identity = {
     id: "own",
@@ -14,19 +16,26 @@
     { name: "an unknown one", id: "else", owner: RESPONSE_OWNER.other },
   ])("tells whose response bears $name", ({ id, owner }) => {
     const headers = id === undefined ? {} : { id };
-    expect(findResponseOwner(identity, headers, ["first", "second"])).toBe(
-      owner,
-    );
+    expect(findResponseOwner(identity, headers, ANSWERED)).toBe(owner);
   });
 
   // Guards against a copy of an earlier refusal whose identifier is gone.
   it.each([
-    { answered: [], owner: RESPONSE_OWNER.attempt },
-    { answered: ["first"], owner: RESPONSE_OWNER.other },
+    { answered: new Set<string>(), owner: RESPONSE_OWNER.attempt },
+    { answered: ANSWERED, owner: RESPONSE_OWNER.other },
   ])("tells whose response bears none where all do: $owner", (testCase) => {
     const named = { ...identity, isAlwaysNamed: true };
     expect(findResponseOwner(named, {}, testCase.answered)).toBe(
       testCase.owner,
     );
   });
+
+  // Guards against a copy that bears the identifier of a request which is under way
+  // again on the same connection.
+  it("does not tell whose response bears an identifier that came twice", () => {
+    const answered = new Set(["own"]);
+    expect(findResponseOwner(identity, { id: "own" }, answered)).toBe(
+      RESPONSE_OWNER.other,
+    );
+  });
 });
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -203,8 +203,8 @@
     }
     this.#firstByteAtMs = this.#clock.readMonotonicMs();
     const { request } = this;
-    const { answeredIds } = this.#connection;
-    const owner = findResponseOwner(request.identity, headers, answeredIds);
+    const { answered } = this.#connection;
+    const owner = findResponseOwner(request.identity, headers, answered);
     if (owner === RESPONSE_OWNER.earlier) {
       this.#dropCopy();
       return;
--- a/packages/entry/src/serving/backend_connection.ts
+++ b/packages/entry/src/serving/backend_connection.ts
@@ -8,9 +8,11 @@
 
 import type { ResponseHead } from "./attempt_listener.ts";
 import type { ResponseIdentity } from "./attempt_message.ts";
+import {
+  type AnsweredRequests,
+  ConnectionHistory,
+} from "./connection_history.ts";
 
-/** Earlier requests of a connection of which a copy of the response is expected. */
-const MAX_ANSWERED_IDS = 8;
 /** A response that is read and left, and the one behind it. */
 const RECEIVED_AT_ONCE = 2;
 /** Message of undici's error for a response to no request. */
@@ -51,10 +53,7 @@
   connectedAtMs = Infinity;
   /** Called when bytes have arrived that are not parsed yet. */
   dataListener: (() => void) | undefined;
-  /** Number of requests that this connection has completed. */
-  servedCount = 0;
-  /** Identifiers of the last of these requests, the oldest first. */
-  answeredIds: readonly string[] = [];
+  readonly #history = new ConnectionHistory();
   /** True if the connection sends no further request. */
   #isReceivingOnly = false;
   #isReadingStopped = false;
@@ -85,7 +84,25 @@
    * @returns number of the connection, and of the requests that it has carried
    */
   describeUse(): ConnectionUse {
-    return { number: this.#number, requestsBefore: this.servedCount };
+    return { number: this.#number, requestsBefore: this.#history.size };
+  }
+
+  /**
+   * Requests that this connection has completed.
+   *
+   * @returns their number and identifiers
+   */
+  get answered(): AnsweredRequests {
+    return this.#history;
+  }
+
+  /**
+   * Whether this connection may carry further requests.
+   *
+   * @returns false if it could not remember them all
+   */
+  get mayBeReused(): boolean {
+    return !this.#history.isFull;
   }
 
   /**
@@ -100,13 +117,13 @@
   /**
    * Returns the connection to its pool after a complete response.
    *
-   * @param id - identifier of the request that was answered
+   * @param id - identifier of the request that was answered; undefined if responses
+   * name none
    * @param nowMs - monotonic time, in milliseconds
    */
-  release(id: string, nowMs: number): void {
+  release(id: string | undefined, nowMs: number): void {
     this.resumeReading();
-    this.servedCount += 1;
-    this.answeredIds = [...this.answeredIds, id].slice(-MAX_ANSWERED_IDS);
+    this.#history.add(id);
     this.idleSinceMs = nowMs;
     this.#owner.release(this);
   }
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -80,25 +80,22 @@
   }
 
   /**
-   * Takes the idle connection that was used last, or prepares a new one.
+   * Takes the idle connection that was used last, or prepares a new one. None that
+   * has carried the identifier: a copy of the earlier response could not be told from
+   * the response that is due.
    *
    * @param target - address of the server
-   * @param maxIdleMs - maximum idle time of a reused connection, in
-   * milliseconds
+   * @param id - identifier by which the response will be recognized; undefined if
+   * responses name none
    * @returns connection that no other request uses
    */
-  acquire(target: SocketAddress, maxIdleMs = Infinity): BackendConnection {
-    const address = formatAddress(target);
-    const idle = this.#idle.get(address);
-    const last = idle?.at(-1);
-    if (
-      last === undefined ||
-      this.#clock.readMonotonicMs() - last.idleSinceMs > maxIdleMs
-    ) {
-      return this.#createConnection(target);
-    }
-    idle?.pop();
-    return last;
+  acquire(target: SocketAddress, id: string | undefined): BackendConnection {
+    const idle = this.#idle.get(formatAddress(target)) ?? [];
+    const index = idle.findLastIndex(({ answered }) =>
+      id === undefined || !answered.has(id)
+    );
+    const [found] = index < 0 ? [] : idle.splice(index, 1);
+    return found ?? this.#createConnection(target);
   }
 
   /**
@@ -215,7 +212,7 @@
     const { address } = connection;
     if (
       this.#isClosed || !this.#open.has(connection.client) ||
-      this.#isReuseSuspended(address)
+      !connection.mayBeReused || this.#isReuseSuspended(address)
     ) {
       connection.abort();
       return;
--- a/packages/entry/src/serving/peer_forwarder.ts
+++ b/packages/entry/src/serving/peer_forwarder.ts
@@ -113,12 +113,16 @@
         headers: this.#buildHeaders(),
         body,
         // The other VM has taken the identifiers of attempts off.
-        identity: { id: "", readId: readAttemptId, isAlwaysNamed: false },
+        identity: {
+          id: undefined,
+          readId: readAttemptId,
+          isAlwaysNamed: false,
+        },
         mayEndWithConnection: false,
         isProven: () => true,
         mayDispatch: undefined,
       },
-      this.#options.connections.acquire(to),
+      this.#options.connections.acquire(to, undefined),
       { clock, exceptions, listener: this.#listener },
     );
     this.#attempt.start();
--- a/packages/entry/src/serving/series_attempt.ts
+++ b/packages/entry/src/serving/series_attempt.ts
@@ -103,7 +103,7 @@
   });
   const attempt = new BackendAttempt(
     { ...message, verifyServer: placement.verifyServer },
-    openAttemptConnection(dependencies, placement),
+    openAttemptConnection(dependencies, placement, message.identity.id),
     {
       clock: ports.clock,
       loop: ports.loop,
--- a/packages/entry/src/serving/unsized_body.ts
+++ b/packages/entry/src/serving/unsized_body.ts
@@ -63,10 +63,11 @@
     this.#reads.observeRead();
     this.#request = request;
     const { identity, isProven } = request;
-    const ids = [identity.id, ...connection.answeredIds];
+    const { answered } = connection;
     this.#detector = new SecondResponseDetector((head) => {
       const id = identity.readId(head.headers);
-      return (id !== undefined && ids.includes(id)) || isProven(head);
+      return (id !== undefined && (id === identity.id || answered.has(id))) ||
+        isProven(head);
     });
   }
 
