--- a/packages/standins/src/process_soak/process_soak.ts
+++ b/packages/standins/src/process_soak/process_soak.ts
@@ -3,6 +3,8 @@
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 
 import { FleetProcesses } from "../fleet/fleet_processes.ts";
+import { publishServer } from "../platform/published_records.ts";
+import { REPEATED_REFUSAL } from "../platform/repeated_refusal.ts";
 import { FaultInjector } from "./fault_injector.ts";
 import { generateSchedule, type ScheduledFault } from "./process_fault.ts";
 import { SoakCallers, VM_HEADER } from "./soak_callers.ts";
@@ -33,6 +35,12 @@
 const LEAVING_SERVER = 1;
 const PAUSED_SERVER = 2;
 const PAUSE_MS = 2_500;
+/**
+ * Server that is announced under a former identifier as well, refuses what is sent
+ * to that, and writes each refusal once more.
+ */
+const REPEATING_SERVER = 3;
+const FORMER_ID = "i-former";
 
 /** Seed and length of a run. */
 export interface ProcessSoakOptions {
@@ -112,6 +120,7 @@
       if (limited !== undefined) {
         limited.chooseNamedLimit = () => String(this.#namedLimit);
       }
+      this.#setRepeatedRefusals();
       const crashing = this.#callers.sendCrashingRequests(
         lengthMs + AFTER_FAULTS_MS,
       );
@@ -181,6 +190,20 @@
     }
   }
 
+  #setRepeatedRefusals(): void {
+    const server = this.#fleet.servers[REPEATING_SERVER];
+    const link = this.#fleet.serverLinks[REPEATING_SERVER];
+    if (server !== undefined && link !== undefined) {
+      server.repeatedRefusal = REPEATED_REFUSAL.identified;
+      publishServer(this.#fleet.store, {
+        id: FORMER_ID,
+        address: link.address,
+        isLeaving: false,
+        sequence: 1,
+      });
+    }
+  }
+
   // After the faults one server leaves and one wants nothing, by their answers.
   #setServerNotices(): void {
     const { servers } = this.#fleet;
