test: a VM that holds all that it can refuses at once

Twenty further requests, one after the other while it holds 8,000, are each refused with a Retry-After within half a second.

--- a/packages/standins/src/fleet/held_memory_test.ts
+++ b/packages/standins/src/fleet/held_memory_test.ts
@@ -29,8 +29,14 @@
 /** The platform asks for readiness once in this time. */
 const CONTROL_TIMEOUT_MS = 1_000;
 const CONTROL_INTERVAL_MS = 250;
+const MEMORY_REFUSALS = 'memory_refusals_total{kind=""}';
 /** Memory of a VM in the users' example of its settings. */
 const MEMORY_BYTES = 350_000_000;
+/** Requests that come while the VM holds all that it can. */
+const LATE_COUNT = 20;
+const LATE_INTERVAL_MS = 50;
+/** Time within which a refusal comes at once. */
+const AT_ONCE_MS = 500;
 const TEST_TIMEOUT_MS = 90_000;
 
 // Guards against a process that ends for want of memory because it takes every
@@ -91,6 +97,22 @@
     }
   }
 
+  // One after the other, as the VM is no longer busy with the others.
+  async function sendLate(
+    vm: VmProcessHandle,
+  ): Promise<readonly HeldCaller[]> {
+    const late: HeldCaller[] = [];
+    for (let index = 0; index < LATE_COUNT; index++) {
+      const [caller] = await openCallers(vm, "held", 1);
+      if (caller !== undefined) {
+        late.push(caller);
+      }
+      await waitMs(LATE_INTERVAL_MS);
+    }
+    await waitMs(AT_ONCE_MS);
+    return late;
+  }
+
   async function countControlFailures(vm: VmProcessHandle): Promise<number> {
     let failures = 0;
     const endAtMs = Date.now() + HOLD_MS;
@@ -139,6 +161,16 @@
       return !vm.isRunning() || answered.length + inFlight >= held.length;
     }, ROUTE_TIMEOUT_SECONDS * MS_PER_S);
     const failures = await countControlFailures(vm);
+    const refusals = await readMetric(vm, MEMORY_REFUSALS);
+    const late = await sendLate(vm);
+    callers = [...callers, ...late];
+    expect(
+      late.filter(({ status, hasRetryAfter, answeredAfterMs }) =>
+        status !== STATUS_UNAVAILABLE || !hasRetryAfter ||
+        (answeredAfterMs ?? Infinity) > AT_ONCE_MS
+      ).map(({ status, answeredAfterMs }) => ({ status, answeredAfterMs })),
+    )
+      .toEqual([]);
 
     expect({ end: describeEnd(vm), inFlight }).toEqual({
       end: undefined,
@@ -164,9 +196,7 @@
     );
     expect(logs.filter((log) => log.includes("peer-lost"))).toEqual([]);
     expect(readPeakBytes(vm)).toBeLessThan(MEMORY_BYTES);
-    expect(await readMetric(vm, 'memory_refusals_total{kind=""}')).toBe(
-      refused.length,
-    );
+    expect(refusals).toBe(refused.length);
     const limitBytes = await readMetric(vm, "held_bytes_limit");
     expect(await readMetric(vm, "held_bytes")).toBeLessThanOrEqual(
       limitBytes ?? 0,
