--- a/packages/standins/src/fleet/broken_head_test.ts
+++ b/packages/standins/src/fleet/broken_head_test.ts
@@ -1,5 +1,8 @@
 import type { CallerResponse } from "../platform/caller_client.ts";
-import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
+import {
+  NOT_RUN_STATUSES,
+  PROTOCOL_HEADER,
+} from "../platform/protocol_names.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
 import type { ReceivedRequest } from "../platform/server_standin.ts";
 import { buildBundle } from "./bundle.ts";
@@ -10,7 +13,6 @@
 const KEY = "key-of-dance";
 const BODY = "seventeen letters";
 const STATUS_OK = 200;
-const NOT_RUN_STATUSES = [408, 421, 429, 503];
 const CONCURRENT = 8;
 
 interface HeadForm {
--- a/packages/standins/src/fleet/forwarded_requests_test.ts
+++ b/packages/standins/src/fleet/forwarded_requests_test.ts
@@ -2,7 +2,10 @@
   CallerRequest,
   CallerResponse,
 } from "../platform/caller_client.ts";
-import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
+import {
+  NOT_RUN_STATUSES,
+  PROTOCOL_HEADER,
+} from "../platform/protocol_names.ts";
 import type { ReceivedRequest } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { buildBundle } from "./bundle.ts";
@@ -19,7 +22,6 @@
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
 const STATUS_LIMITED = 429;
-const NOT_RUN_STATUSES = [408, 421, 429, 503];
 const DETECTION_MS = 1_500;
 const PROCESSING_MS = 400;
 
--- a/packages/standins/src/fleet/repeated_identifier_test.ts
+++ b/packages/standins/src/fleet/repeated_identifier_test.ts
@@ -1,4 +1,5 @@
 import type { CallerResponse } from "../platform/caller_client.ts";
+import { NOT_RUN_STATUSES } from "../platform/protocol_names.ts";
 import { publishServer } from "../platform/published_records.ts";
 import {
   REPEATED_REFUSAL,
@@ -13,7 +14,6 @@
 
 const KEY = "key-of-dance";
 const STATUS_OK = 200;
-const NOT_RUN_STATUSES = [408, 421, 429, 503];
 const REQUEST_COUNT = 20;
 /** Time between the copy of the refusal and the true answer. */
 const PROCESSING_MS = 40;
--- a/packages/standins/src/fleet/repeated_refusal_test.ts
+++ b/packages/standins/src/fleet/repeated_refusal_test.ts
@@ -1,4 +1,5 @@
 import type { CallerResponse } from "../platform/caller_client.ts";
+import { NOT_RUN_STATUSES } from "../platform/protocol_names.ts";
 import {
   REPEATED_REFUSAL,
   type RepeatedRefusal,
@@ -11,7 +12,6 @@
 
 const KEY = "key-of-dance";
 const STATUS_OK = 200;
-const NOT_RUN_STATUSES = [408, 421, 429, 503];
 const REQUEST_COUNT = 60;
 /** Time between the copy of the refusal and the true answer. */
 const PROCESSING_MS = 40;
--- a/packages/standins/src/fleet/servers_unreachable_test.ts
+++ b/packages/standins/src/fleet/servers_unreachable_test.ts
@@ -1,3 +1,4 @@
+import { NOT_RUN_STATUSES } from "../platform/protocol_names.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { buildBundle } from "./bundle.ts";
 import { DirectoryLoad, type FirstAttempt } from "./directory_load.ts";
@@ -34,8 +35,6 @@
 /** Time for which other VMs avoid one that fell silent. */
 const SILENT_FOR_MS = 1_500;
 const STATUS_OK = 200;
-/** Statuses that promise that a request has not run. */
-const NOT_RUN_STATUSES = [408, 421, 429, 503];
 
 // Which VMs of a fleet lose the servers.
 type VmSelection = (fleet: FleetProcesses) => Promise<
--- a/packages/standins/src/fleet/unproven_refusal_test.ts
+++ b/packages/standins/src/fleet/unproven_refusal_test.ts
@@ -1,5 +1,8 @@
 import type { CallerResponse } from "../platform/caller_client.ts";
-import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
+import {
+  NOT_RUN_STATUSES,
+  PROTOCOL_HEADER,
+} from "../platform/protocol_names.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
 import { buildBundle } from "./bundle.ts";
 import { getVm } from "./fleet_lookup.ts";
@@ -7,8 +10,6 @@
 import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
-/** Statuses that promise callers that a request did not run and never will. */
-const NOT_RUN_STATUSES = [408, 421, 429, 503];
 /** Of these, a server shows by a header that it has not run the request. */
 const UNPROVEN_STATUSES = [408, 429, 503];
 const REQUESTS = 5;
--- a/packages/standins/src/platform/protocol_names.ts
+++ b/packages/standins/src/platform/protocol_names.ts
@@ -26,3 +26,6 @@
   directory: "/resolution",
   readiness: "/readiness",
 } as const;
+
+/** Statuses that promise callers that a request has not run and never will. */
+export const NOT_RUN_STATUSES: readonly number[] = [408, 421, 429, 503];
--- a/packages/standins/src/process_soak/soak_checks.ts
+++ b/packages/standins/src/process_soak/soak_checks.ts
@@ -1,9 +1,8 @@
 /** Checks invariants of request execution that must hold under any fault. */
 
 import type { CallerResponse } from "../platform/caller_client.ts";
+import { NOT_RUN_STATUSES } from "../platform/protocol_names.ts";
 
-/** Status codes that guarantee that a request has not run and never will. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const STATUS_OK = 200;
 /** Kind of the refusal of a quarantined request. */
 const QUARANTINED = "quarantined";
@@ -201,7 +200,9 @@
   if (response === undefined) {
     return violations;
   }
-  if (!isIdempotent && NOT_RUN_STATUSES.has(response.status) && runCount > 0) {
+  if (
+    !isIdempotent && NOT_RUN_STATUSES.includes(response.status) && runCount > 0
+  ) {
     violations.push(`${id} got status ${response.status} but ran`);
   }
   if (!sent.isCrashing && response.body.includes(QUARANTINED)) {
