test: a refusal's copy that breaks off within its status line gives its status to what ran

Failing; the program is not changed. "HTTP/1.1 421 Misdirected" and behind it the response to the request under way: the parser takes the second status line for the reason phrase, and the headers of the true response, with the identifier under way, for those of a 421. `hasStatusLine` reads header values only. 421 needs no header to be a promise, so that the caller hears 503 "not run". Other statuses that are cut there give a wrong status.

--- a/packages/standins/src/fleet/broken_copy_test.ts
+++ b/packages/standins/src/fleet/broken_copy_test.ts
@@ -1,5 +1,6 @@
 import type { CallerResponse } from "../platform/caller_client.ts";
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
+import { publishServer } from "../platform/published_records.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
 import type { ServerStandin } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
@@ -9,6 +10,11 @@
 import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
+const REQUEST_COUNT = 6;
+/** Identifier under which the server was announced before it started again. */
+const FORMER_ID = "i-former";
+const BROKEN_REFUSAL = "HTTP/1.1 421 Misdirected Requ";
 
 function buildSuccess(id: string): string {
   return `HTTP/1.1 200 OK\r\n${PROTOCOL_HEADER.requestId}: ${id}\r\n` +
@@ -41,6 +47,12 @@
     return fleet.send(vm, { path, key: KEY, method: "POST", body: "deposit" });
   }
 
+  function countRuns(path: string): number {
+    return server.received.filter((request) =>
+      request.hasRun && request.target === path
+    ).length;
+  }
+
   it("does not end the VM if it breaks off within its body", async () => {
     let earlier: string | undefined;
     server.chooseRawResponse = ({ headers }): RawResponse => {
@@ -58,4 +70,39 @@
     expect(vm.log).not.toContain("exception-uncaught");
     expect(vm.ends).toEqual([]);
   });
+
+  it("promises nothing of what has run if it breaks off within its status line", async () => {
+    const [link] = fleet.serverLinks;
+    if (link === undefined) {
+      throw new Error("the backend server has no link");
+    }
+    publishServer(fleet.store, {
+      id: FORMER_ID,
+      address: link.address,
+      isLeaving: false,
+      sequence: 1,
+    });
+    await waitMs(500);
+    let count = 0;
+    server.chooseRawResponse = ({ headers }): RawResponse => {
+      const id = String(headers[PROTOCOL_HEADER.requestId]);
+      count += 1;
+      return {
+        bytes: (count > 2 ? BROKEN_REFUSAL : "") + buildSuccess(id),
+        end: "none",
+      };
+    };
+    const untrue: (readonly [string, number, number])[] = [];
+    for (let index = 0; index < REQUEST_COUNT; index++) {
+      const path = `/book/${index}`;
+      const { status } = await sendBooking(path);
+      const runs = countRuns(path);
+      if (runs > 1 || (runs > 0 && NOT_RUN_STATUSES.includes(status))) {
+        untrue.push([path, status, runs]);
+      }
+      await waitMs(10);
+    }
+    expect(server.received.some(({ hasRun }) => !hasRun)).toBe(true);
+    expect(untrue).toEqual([]);
+  });
 });
