test: a refusal's copy that breaks off within its status line gives its status to what ran

Failing; the program is not changed. "HTTP/1.1 421 Misdirected" and behind it the response to the request under way: the parser takes the second status line for the reason phrase, and the headers of the true response, with the identifier under way, for those of a 421. `hasStatusLine` reads header values only. 421 needs no header to be a promise, so that the caller hears 503 "not run". Other statuses that are cut there give a wrong status.

The stand-in has a form of the copy for it, `broken`; the others are as they were.

--- a/packages/standins/src/fleet/broken_copy_test.ts
+++ b/packages/standins/src/fleet/broken_copy_test.ts
@@ -1,6 +1,8 @@
 import type { CallerResponse } from "../platform/caller_client.ts";
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
+import { publishServer } from "../platform/published_records.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
+import { REPEATED_REFUSAL } from "../platform/repeated_refusal.ts";
 import type { ServerStandin } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { buildBundle } from "./bundle.ts";
@@ -9,6 +11,12 @@
 import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
+const NOT_RUN_STATUSES = [408, 421, 429, 503];
+const REQUEST_COUNT = 20;
+/** Time between the copy of the refusal and the true answer. */
+const PROCESSING_MS = 40;
+/** Identifier under which the server was announced before it started again. */
+const FORMER_ID = "i-former";
 
 function buildSuccess(id: string): string {
   return `HTTP/1.1 200 OK\r\n${PROTOCOL_HEADER.requestId}: ${id}\r\n` +
@@ -32,6 +40,7 @@
       throw new Error("the fleet has no backend server");
     }
     server = first;
+    server.processingMs = PROCESSING_MS;
   });
   afterEach(async () => {
     await fleet.stop();
@@ -41,6 +50,12 @@
     return fleet.send(vm, { path, key: KEY, method: "POST", body: "deposit" });
   }
 
+  function countRuns(path: string): number {
+    return server.received.filter((request) =>
+      request.hasRun && request.target === path
+    ).length;
+  }
+
   it("does not end the VM if it breaks off within its body", async () => {
     let earlier: string | undefined;
     server.chooseRawResponse = ({ headers }): RawResponse => {
@@ -58,4 +73,31 @@
     expect(vm.log).not.toContain("exception-uncaught");
     expect(vm.ends).toEqual([]);
   });
+
+  it("promises nothing of what has run if it breaks off within its status line", async () => {
+    const [link] = fleet.serverLinks;
+    if (link === undefined) {
+      throw new Error("the backend server has no link");
+    }
+    publishServer(fleet.store, {
+      id: FORMER_ID,
+      address: link.address,
+      isLeaving: false,
+      sequence: 1,
+    });
+    await waitMs(500);
+    server.repeatedRefusal = REPEATED_REFUSAL.broken;
+    const untrue: (readonly [string, number, number])[] = [];
+    for (let index = 0; index < REQUEST_COUNT; index++) {
+      const path = `/book/${index}`;
+      const { status } = await sendBooking(path);
+      const runs = countRuns(path);
+      if (runs > 1 || (runs > 0 && NOT_RUN_STATUSES.includes(status))) {
+        untrue.push([path, status, runs]);
+      }
+      await waitMs(10);
+    }
+    expect(server.received.some(({ hasRun }) => !hasRun)).toBe(true);
+    expect(untrue).toEqual([]);
+  });
 });
--- a/packages/standins/src/platform/repeated_refusal.ts
+++ b/packages/standins/src/platform/repeated_refusal.ts
@@ -9,6 +9,8 @@
   identified: "identified",
   /** As `identified`, in one packet with the response to the next request. */
   joined: "joined",
+  /** As `joined`, but it breaks off within its status line. */
+  broken: "broken",
   /** Without the identifier of any request. */
   anonymous: "anonymous",
   /** The refusal has the identifier of its request, the copy has none. */
@@ -43,7 +45,7 @@
   /**
    * Writes the last refusal of a connection once more, if there is one.
    *
-   * @param socket - the connection; it stays corked for `joined`
+   * @param socket - the connection; it stays corked for `joined` and `broken`
    * @param form - form of the copy
    */
   writeAgain(socket: Socket, form: RepeatedRefusal): void {
@@ -51,6 +53,11 @@
     if (refusal === undefined || form === REPEATED_REFUSAL.none) {
       return;
     }
+    if (form === REPEATED_REFUSAL.broken) {
+      socket.cork();
+      socket.write(`HTTP/1.1 ${refusal.statusLine.slice(0, -1)}`);
+      return;
+    }
     const hasId = form === REPEATED_REFUSAL.identified ||
       form === REPEATED_REFUSAL.joined;
     const idLine = hasId ? `request-id: ${refusal.id}\r\n` : "";
