test: crashes of a request whose identifier comes again count once

Failing; the program is not changed. Runs are told apart by request identifier and attempt number (`CrashGuard.#recordCrash`, `mergeRuns`). A request that its caller sends again with the same identifier has the same run each time: three servers crash and it stays suspect.

Seen on: crash_guard_test "counts each crash of a request that comes again: true" red, ": false" green.

--- a/packages/entry/src/fleet/crash_guard_test.ts
+++ b/packages/entry/src/fleet/crash_guard_test.ts
@@ -245,4 +245,20 @@
     await probe.complete("refused");
     expect(registry.findStatus(REQUEST)).toBe("quarantined");
   });
+
+  // Guards against a request that crashes server after server, since its caller sends
+  // it each time with the same identifier.
+  it.each([{ isSameId: false }, { isSameId: true }])(
+    "counts each crash of a request that comes again: $isSameId",
+    async ({ isSameId }) => {
+      const first = buildRequest();
+      for (const server of ["s1", "s2", "s3"]) {
+        const request = isSameId ? first : buildRequest();
+        complete(request, "reset-before-first-byte", server);
+        await probe.complete("refused");
+        clock.advance(2_000);
+      }
+      expect(registry.findStatus(REQUEST)).toBe("quarantined");
+    },
+  );
 });
