--- a/packages/standins/src/fleet/broken_copy_test.ts
+++ b/packages/standins/src/fleet/broken_copy_test.ts
@@ -1,7 +1,11 @@
 import type { CallerResponse } from "../platform/caller_client.ts";
-import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
+import {
+  NOT_RUN_STATUSES,
+  PROTOCOL_HEADER,
+} from "../platform/protocol_names.ts";
 import { publishServer } from "../platform/published_records.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
+import { REPEATED_REFUSAL } from "../platform/repeated_refusal.ts";
 import type { ServerStandin } from "../platform/server_standin.ts";
 import { waitMs } from "../process_soak/wait_ms.ts";
 import { buildBundle } from "./bundle.ts";
@@ -10,11 +14,12 @@
 import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
-const NOT_RUN_STATUSES = [408, 421, 429, 503];
-const REQUEST_COUNT = 6;
+
+const REQUEST_COUNT = 20;
+/** Time between the copy of the refusal and the true answer. */
+const PROCESSING_MS = 40;
 /** Identifier under which the server was announced before it started again. */
 const FORMER_ID = "i-former";
-const BROKEN_REFUSAL = "HTTP/1.1 421 Misdirected Requ";
 
 function buildSuccess(id: string): string {
   return `HTTP/1.1 200 OK\r\n${PROTOCOL_HEADER.requestId}: ${id}\r\n` +
@@ -38,6 +43,7 @@
       throw new Error("the fleet has no backend server");
     }
     server = first;
+    server.processingMs = PROCESSING_MS;
   });
   afterEach(async () => {
     await fleet.stop();
@@ -83,15 +89,7 @@
       sequence: 1,
     });
     await waitMs(500);
-    let count = 0;
-    server.chooseRawResponse = ({ headers }): RawResponse => {
-      const id = String(headers[PROTOCOL_HEADER.requestId]);
-      count += 1;
-      return {
-        bytes: (count > 2 ? BROKEN_REFUSAL : "") + buildSuccess(id),
-        end: "none",
-      };
-    };
+    server.repeatedRefusal = REPEATED_REFUSAL.broken;
     const untrue: (readonly [string, number, number])[] = [];
     for (let index = 0; index < REQUEST_COUNT; index++) {
       const path = `/book/${index}`;
