fix: a copy of an earlier response that breaks off fails only its attempt

Cause: the response behind a copy was asked for at the copy's head, so that the HTTP client had two requests running. If the connection ended or the parser failed within the copy, the client told the attempt first, whose abort destroyed the client before it had dealt with the second request; its assertion failed in the socket's close event, where nothing catches.

Change: the response is asked for at the end of the copy, so that one request runs at a time.

--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -206,7 +206,7 @@
     const { answered } = this.#connection;
     const owner = findResponseOwner(request.identity, headers, answered);
     if (owner === RESPONSE_OWNER.earlier) {
-      this.#dropCopy();
+      this.#copies.begin();
       return;
     }
     this.#isSuccess = status < FIRST_UNSUCCESSFUL_STATUS;
@@ -263,7 +263,7 @@
       return;
     }
     if (this.#copies.isReceiving) {
-      this.#copies.complete();
+      this.#completeCopy();
       return;
     }
     this.#hasEnded = true;
@@ -349,12 +349,11 @@
     this.#listener.receiveEnd(this, chunk);
   }
 
-  // A copy of an earlier response has begun; the response to this attempt follows.
-  #dropCopy(): void {
-    if (
-      !this.#copies.begin() ||
-      !this.#connection.receiveNext(buildAttemptHandler(this, this.#guard))
-    ) {
+  // The response to this attempt follows. If it were asked for earlier, the HTTP client
+  // would have two requests to tell of a broken connection, and fail between them.
+  #completeCopy(): void {
+    const handler = buildAttemptHandler(this, this.#guard);
+    if (!this.#copies.complete() || !this.#connection.receiveNext(handler)) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
     }
   }
--- a/packages/entry/src/serving/earlier_copies.ts
+++ b/packages/entry/src/serving/earlier_copies.ts
@@ -48,15 +48,10 @@
     return this.#bytes;
   }
 
-  /**
-   * Begins a copy.
-   *
-   * @returns false if it is one too many
-   */
-  begin(): boolean {
+  /** Begins a copy. */
+  begin(): void {
     this.#isReceiving = true;
     this.#count += 1;
-    return this.#count <= MAX_COPIES;
   }
 
   /**
@@ -68,8 +63,13 @@
     this.#bytes += chunk.length;
   }
 
-  /** Ends the copy that is being received. */
-  complete(): void {
+  /**
+   * Ends the copy that is being received.
+   *
+   * @returns false if it was one too many
+   */
+  complete(): boolean {
     this.#isReceiving = false;
+    return this.#count <= MAX_COPIES;
   }
 }
