fix: a refusal that breaks off within its status line gives its status to nothing

Cause: behind a copy of a 421 that breaks off within its status line, the parser takes the second status line for the reason phrase, and the headers of the true response, with the identifier that is due, for those of a 421. Only header values were searched for a status line, and a 421 needs no header to be a promise.

Change: the reason phrase is searched as well, on every connection, since none may hold a status line.

--- a/packages/entry/src/serving/attempt_handler.ts
+++ b/packages/entry/src/serving/attempt_handler.ts
@@ -44,9 +44,10 @@
         controller.abort(new Error("attempt has ended"));
       }
     },
-    onResponseStart(_controller, status, headers) {
+    onResponseStart(_controller, ...head) {
+      const [status, headers, reason] = head;
       guard.run(() => {
-        attempt.handleResponseStart(status, headers);
+        attempt.handleResponseStart({ status, headers, reason });
       });
     },
     onResponseData(_controller, chunk) {
--- a/packages/entry/src/serving/attempt_listener.ts
+++ b/packages/entry/src/serving/attempt_listener.ts
@@ -10,6 +10,12 @@
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 }
 
+/** Status line and headers of a response as the HTTP client read them. */
+export interface ReceivedHead extends ResponseHead {
+  /** Reason phrase of the status line. */
+  readonly reason: string | undefined;
+}
+
 /** Reason why an attempt gave no complete response. */
 export interface AttemptFailure {
   readonly outcome: Exclude<AttemptOutcome, "served" | "failed" | "shed">;
--- a/packages/entry/src/serving/attempt_message.ts
+++ b/packages/entry/src/serving/attempt_message.ts
@@ -2,7 +2,7 @@
 
 import type { Readable } from "node:stream";
 
-import type { ResponseHead } from "./attempt_listener.ts";
+import type { ReceivedHead, ResponseHead } from "./attempt_listener.ts";
 import type { AnsweredRequests } from "./connection_history.ts";
 
 const STATUS_LINE = /HTTP\/1\.[01] [1-5][0-9]{2}/;
@@ -62,18 +62,21 @@
  * Finds out what a response answers.
  *
  * @param identity - identifier that the response should bear
- * @param headers - headers of the response
+ * @param head - status line and headers of the response
  * @param answered - requests that were answered before on the same connection
  * @returns the attempt if the response bears its identifier and no earlier request
  * had it; or if it bears none, unless it has to, or its connection has brought
- * others and a status line stands within a header
+ * others and a second status line stands within its head
  */
 export function findResponseOwner(
   { id, readId, isAlwaysNamed }: ResponseIdentity,
-  headers: ResponseHead["headers"],
+  { reason, headers }: Pick<ReceivedHead, "reason" | "headers">,
   answered: AnsweredRequests,
 ): ResponseOwner {
-  if (answered.size > 0 && Object.values(headers).some(hasStatusLine)) {
+  if (
+    hasStatusLine(reason) ||
+    (answered.size > 0 && Object.values(headers).some(hasStatusLine))
+  ) {
     return RESPONSE_OWNER.other;
   }
   const responseId = readId(headers);
@@ -92,8 +95,8 @@
     : RESPONSE_OWNER.attempt;
 }
 
-// A copy of an earlier response that breaks off within a header swallows the status
-// line of the response behind it.
+// A copy of an earlier response that breaks off within its status line or a header
+// swallows the status line of the response behind it.
 function hasStatusLine(value: string | string[] | undefined): boolean {
   return STATUS_LINE.test(String(value));
 }
--- a/packages/entry/src/serving/attempt_message_test.ts
+++ b/packages/entry/src/serving/attempt_message_test.ts
@@ -1,7 +1,12 @@
+import type { ReceivedHead } from "./attempt_listener.ts";
 import { findResponseOwner, RESPONSE_OWNER } from "./attempt_message.ts";
 
 const ANSWERED = new Set(["first", "second"]);
 
+function toHead(headers: ReceivedHead["headers"]): ReceivedHead {
+  return { status: 200, reason: "OK", headers };
+}
+
 describe("findResponseOwner", () => {
   const identity = {
     id: "own",
@@ -16,7 +21,7 @@
     { name: "an unknown one", id: "else", owner: RESPONSE_OWNER.other },
   ])("tells whose response bears $name", ({ id, owner }) => {
     const headers = id === undefined ? {} : { id };
-    expect(findResponseOwner(identity, headers, ANSWERED)).toBe(owner);
+    expect(findResponseOwner(identity, toHead(headers), ANSWERED)).toBe(owner);
   });
 
   // Guards against a copy of an earlier refusal whose identifier is gone.
@@ -25,7 +30,7 @@
     { answered: ANSWERED, owner: RESPONSE_OWNER.other },
   ])("tells whose response bears none where all do: $owner", (testCase) => {
     const named = { ...identity, isAlwaysNamed: true };
-    expect(findResponseOwner(named, {}, testCase.answered)).toBe(
+    expect(findResponseOwner(named, toHead({}), testCase.answered)).toBe(
       testCase.owner,
     );
   });
@@ -34,7 +39,7 @@
   // again on the same connection.
   it("does not tell whose response bears an identifier that came twice", () => {
     const answered = new Set(["own"]);
-    expect(findResponseOwner(identity, { id: "own" }, answered)).toBe(
+    expect(findResponseOwner(identity, toHead({ id: "own" }), answered)).toBe(
       RESPONSE_OWNER.other,
     );
   });
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -8,7 +8,7 @@
 import type {
   AttemptFailure,
   AttemptListener,
-  ResponseHead,
+  ReceivedHead,
 } from "./attempt_listener.ts";
 import {
   type AttemptRequest,
@@ -192,19 +192,19 @@
   }
 
   /**
-   * Called by the HTTP client with the status and headers of a response.
+   * Called by the HTTP client with the head of a response.
    *
-   * @param status - HTTP status
-   * @param headers - header values by lower-case name
+   * @param received - status line and headers
    */
-  handleResponseStart(status: number, headers: ResponseHead["headers"]): void {
+  handleResponseStart(received: ReceivedHead): void {
+    const { status, headers } = received;
     if (this.#isFinished || status < 200) {
       return;
     }
     this.#firstByteAtMs = this.#clock.readMonotonicMs();
     const { request } = this;
     const { answered } = this.#connection;
-    const owner = findResponseOwner(request.identity, headers, answered);
+    const owner = findResponseOwner(request.identity, received, answered);
     if (owner === RESPONSE_OWNER.earlier) {
       this.#copies.begin();
       return;
