fix: the crash of a server counts once, though another VM dates it later

Cause: a run that another VM tells of is dated by the arrival of its message. 350 ms late, the run seems to have been sent 200 ms after the crash that ended it, and counts as a second crash of the same server. The same happens to servers of one rack: the late news of the second one counts beside the first.

Change: all runs at a server that were sent before 1 s after its crash are of that crash, and are dated by its first news. A run is compared with that time, also where the server's first run did not count.

Which error is worse: a harmless request is refused for good unless a run in flight serves it; a crashing one is let through a little longer. The time runs from the first news of the crash and is not prolonged by runs that don't count, so that a server that is back at once (every 500 ms, one server, one request) quarantines it after 4 crashes in 1.5 s, before: 2 in 0.5 s; every 1.1 s: after 2, as before. On the platform servers are back after some seconds. Not covered: news over 1 s late (a VM that was frozen); the start of the server in each run would tell these, a new field of messages and records.

The bound of 4 crashes at 500 ms is new; there 2 sufficed.

--- a/packages/core/src/quarantine/shared_suspicion_test.ts
+++ b/packages/core/src/quarantine/shared_suspicion_test.ts
@@ -55,4 +55,31 @@
     expect(countCrashes(here.find(REQUEST)?.runs ?? [])).toBe(2);
     expect(here.findStatus(REQUEST)).toBe("suspect");
   });
+
+  it("counts servers of one rack once, though another VM dates one of them later", () => {
+    const here = new SuspicionRegistry();
+    here.recordCrash("s1", [buildRun("s1", 1_000)], 1_000);
+    here.recordCrash("s2", [buildRun("s2", 1_010)], 1_010);
+    const late = { ...buildRun("s2", 1_360), id: "of other" };
+    here.recordCrash("s2", [late], 1_360);
+    expect(countCrashes(here.find(REQUEST)?.runs ?? [])).toBe(1);
+  });
+
+  // A server that is back at once crashes more often before it counts again.
+  it.each([
+    { everyMs: 1_100, crashes: 2 },
+    { everyMs: 500, crashes: 4 },
+  ])(
+    "is a quarantine after $crashes crashes of one server every $everyMs ms",
+    ({ everyMs, crashes }) => {
+      const here = new SuspicionRegistry();
+      const statuses = Array.from({ length: crashes }, (_, index) => {
+        const atMs = (index + 1) * everyMs;
+        const run = { ...buildRun("s1", atMs), id: `run ${index}` };
+        here.recordCrash("s1", [run], atMs);
+        return here.findStatus(REQUEST);
+      });
+      expect(statuses.indexOf("quarantined")).toBe(crashes - 1);
+    },
+  );
 });
--- a/packages/core/src/quarantine/suspicion.ts
+++ b/packages/core/src/quarantine/suspicion.ts
@@ -59,6 +59,12 @@
  * unless its server is known to have been running then.
  */
 const SAME_CRASH_WINDOW_MS = 200;
+/**
+ * A server that has crashed takes no request sooner, since it has to start again.
+ * A run there that seems to have been sent sooner ended with the same crash, of
+ * which its VM's news came late.
+ */
+const SERVER_RESTART_MS = 1_000;
 
 /**
  * Merges what two VMs know of one request. Commutative, associative and
@@ -121,7 +127,7 @@
 ): number {
   let count = 0;
   let lastCrashAtMs = -Infinity;
-  for (const run of [...runs].sort(compareRuns)) {
+  for (const run of resolveCrashTimes(runs)) {
     if (isCounted(run, lastCrashAtMs)) {
       count += 1;
       lastCrashAtMs = run.crashedAtMs;
@@ -130,6 +136,20 @@
   return count;
 }
 
+// Dates all runs that one crash of a server ended by the first news of it.
+function resolveCrashTimes(runs: readonly CrashedRun[]): readonly CrashedRun[] {
+  const crashedAtMsByServer = new Map<string, number>();
+  return [...runs].sort(compareRuns).map((run) => {
+    const knownAtMs = crashedAtMsByServer.get(run.server);
+    const sentAtMs = run.crashedAtMs - run.ranMs;
+    if (knownAtMs !== undefined && sentAtMs <= knownAtMs + SERVER_RESTART_MS) {
+      return { ...run, crashedAtMs: knownAtMs };
+    }
+    crashedAtMsByServer.set(run.server, run.crashedAtMs);
+    return run;
+  }).sort(compareRuns);
+}
+
 // Runs are identified by `id`, since the time of a run that was passed on differs
 // by the time of the messages.
 function mergeRuns(
