fix: a server's pause is followed by one request until that has an answer

Cause: the one request that tries a server after its pause kept others away for 1 s of time at most. vm-1 stood still for 1.6 s just then; with the response still unread it placed 15 more there. A frozen VM does the same.

Change: the trial is that one request, and ends with it: by the head of a response that asks for no pause, or by the end of the attempt, whatever ends it. If it had no answer, the next request is a trial too. Time ends no trial. The head counts, so that a long response holds nothing up for its whole length. A request from before the pause that still runs keeps no trial away any more.

The price: at a server that answers nothing, requests of a VM go one after the other, each until its attempt ends (before: all, 1 s after the pause).

Red run, placement code of: "get one request at a time until one is accepted" expected [] at 1,900 ms, received two placed requests. With the line that passes the head on taken out, two of three cases of server_notices_test were red.

--- a/packages/core/src/placement/neglected_servers.ts
+++ b/packages/core/src/placement/neglected_servers.ts
@@ -75,7 +75,7 @@
   { tried, mayRetry }: PlacementDemand,
   nowMs: number,
 ): boolean {
-  return server.hasFreeSlot() && !server.isOnTrial(nowMs) &&
+  return server.hasFreeSlot() && !server.isOnTrial() &&
     (mayRetry || !server.isUnproven(nowMs)) &&
     !tried.includes(server.announced.id);
 }
--- a/packages/core/src/placement/paused_placement_test.ts
+++ b/packages/core/src/placement/paused_placement_test.ts
@@ -52,11 +52,26 @@
   });
 }
 
+function takePlaced(
+  placement: ServicePlacement<number>,
+  nowMs: number,
+): readonly TakenSlot[] {
+  return placement.decideWaiting(nowMs).flatMap(({ decision }) =>
+    decision.kind === "placed" ? [decision.slot] : []
+  );
+}
+
 function completeRun(
   placement: ServicePlacement<number>,
-  slot: TakenSlot,
-  end: { readonly outcome: "served" | "shed"; readonly nowMs: number },
+  slot: TakenSlot | undefined,
+  end: {
+    readonly outcome: "served" | "shed" | "timed-out";
+    readonly nowMs: number;
+  },
 ): void {
+  if (slot === undefined) {
+    throw new Error("no request was placed");
+  }
   placement.complete(slot, {
     outcome: end.outcome,
     firstByteMs: SERVICE_MS,
@@ -263,13 +278,11 @@
         "waiting",
       );
     }
-    const slots = placement.decideWaiting(200).flatMap(({ decision }) =>
-      decision.kind === "placed" ? [decision.slot] : []
-    );
+    const slots = takePlaced(placement, 200);
     expect(slots.map(({ server }) => server.announced.id).sort())
       .toEqual(servers.map(({ id }) => id));
     const [first, second] = slots;
-    if (first === undefined || second === undefined) {
+    if (second === undefined) {
       throw new Error("no request was placed");
     }
     completeRun(placement, first, { outcome: "served", nowMs: 250 });
@@ -279,6 +292,24 @@
     expect(placement.waitingCount).toBe(1);
   });
 
+  // Guards against a VM that was frozen while the first response lay unread.
+  it("get one request at a time until one is accepted, however long it takes", () => {
+    const placement = createPlacement(1);
+    const server = buildServer(0);
+    placement.setServers([server], 0);
+    placement.servers.recordPause(server, 200, 0);
+    for (let request = 1; request <= 6; request++) {
+      placement.acquire(buildDemand(0), request, 0);
+    }
+    const [first] = takePlaced(placement, 200);
+    expect(takePlaced(placement, 1_900)).toEqual([]);
+    completeRun(placement, first, { outcome: "timed-out", nowMs: 1_950 });
+    const [second, ...others] = takePlaced(placement, 1_950);
+    expect(others).toEqual([]);
+    second?.server.recordAccepted(second.running);
+    expect(takePlaced(placement, 2_000)).toHaveLength(server.slots - 1);
+  });
+
   it("let waiting requests go if they turn away the first one", () => {
     const placement = createPlacement(1);
     const server = buildServer(0);
--- a/packages/core/src/placement/server_choice.ts
+++ b/packages/core/src/placement/server_choice.ts
@@ -82,7 +82,7 @@
 ): TrackedServer | undefined {
   const open = servers.filter((server) =>
     server.isAvailable(context.nowMs) &&
-    !server.isOnTrial(context.nowMs) &&
+    !server.isOnTrial() &&
     !demand.tried.includes(server.announced.id)
   );
   const free = listCandidates(
--- a/packages/core/src/placement/tracked_server.ts
+++ b/packages/core/src/placement/tracked_server.ts
@@ -57,6 +57,8 @@
   #hasShed = false;
   /** True if it has named a pause and answered no request since. */
   #hasNamedPause = false;
+  /** The first request after the pause, until it has ended or is accepted. */
+  #trial: RunningRequest | undefined;
   #pausedUntilMs = 0;
   #nextTokenAtMs = 0;
   #sentAtMs: number;
@@ -179,6 +181,9 @@
   addRunning(request: RunningRequest): void {
     this.#running.add(request);
     this.#sentAtMs = request.startedAtMs;
+    if (this.#hasNamedPause) {
+      this.#trial ??= request;
+    }
   }
 
   /**
@@ -188,6 +193,9 @@
    */
   removeRunning(request: RunningRequest): void {
     this.#running.delete(request);
+    if (this.#trial === request) {
+      this.#trial = undefined;
+    }
   }
 
   /**
@@ -283,21 +291,32 @@
   }
 
   /**
-   * Checks whether the server is answering the first request after a pause that
-   * it named, and should get no other until then.
+   * Checks whether the first request after a pause that the server named is still
+   * under way. It should get no other until then, however long that takes: this VM
+   * may have been frozen with the response unread.
    *
-   * @param nowMs - monotonic time, in milliseconds
-   * @returns false some time after its pause, also without an answer
+   * @returns false once that request has ended or is accepted
    */
-  isOnTrial(nowMs: number): boolean {
-    return this.#hasNamedPause && this.ownLoad > 0 &&
-      nowMs < this.#pausedUntilMs + UNPROVEN_MS;
+  isOnTrial(): boolean {
+    return this.#trial !== undefined;
+  }
+
+  /**
+   * Records that the head of a response has come that asks for no pause. The rest
+   * of the response may take long.
+   *
+   * @param request - the same object that was added
+   */
+  recordAccepted(request: RunningRequest): void {
+    if (this.#trial === request) {
+      this.#completeTrial();
+    }
   }
 
   /** Records that the server has answered a request, if only with an error. */
   recordAnswered(): void {
     this.#hasShed = false;
-    this.#hasNamedPause = false;
+    this.#completeTrial();
   }
 
   /**
@@ -364,6 +383,11 @@
     return 1 - (1 - server) * (1 - link);
   }
 
+  #completeTrial(): void {
+    this.#trial = undefined;
+    this.#hasNamedPause = false;
+  }
+
   #updatePause(untilMs: number): void {
     this.#pausedUntilMs = Math.max(this.#pausedUntilMs, untilMs);
   }
--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -342,6 +342,7 @@
       observeNotice: (notice) => {
         this.#notices.observe(announced, notice, {
           balancer: service,
+          slot,
           request: { id: request.context.id, grant },
         });
       },
--- a/packages/entry/src/fleet/server_notices.ts
+++ b/packages/entry/src/fleet/server_notices.ts
@@ -1,5 +1,6 @@
 /** Acts on what backend servers say of their state in their responses. */
 
+import type { TakenSlot } from "@limpetford/core/placement/placement_decision";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
 import type { ServerNotice } from "@limpetford/domain/server_notice";
@@ -43,13 +44,14 @@
    *
    * @param server - the server, as announced when the request was sent
    * @param notice - state according to the response
-   * @param source - load balancer of the server's service, and the request
+   * @param source - load balancer of the server's service, slot and request
    */
   observe(
     server: AnnouncedServer,
     notice: ServerNotice,
-    { balancer, request }: {
+    { balancer, slot, request }: {
       readonly balancer: Balancer;
+      readonly slot: TakenSlot;
       readonly request: AnsweredRequest;
     },
   ): void {
@@ -60,11 +62,13 @@
       log.record("server-leaving", line);
       notifyChange();
     }
-    const { pauseMs } = notice;
-    if (pauseMs !== undefined && pauseMs > 0) {
+    const { pauseMs = 0 } = notice;
+    if (pauseMs > 0) {
       const nowMs = clock.readMonotonicMs();
       balancer.servers.recordPause(server, nowMs + pauseMs, nowMs);
       log.record("server-paused", { ...line, forMs: Math.round(pauseMs) });
+    } else {
+      slot.server.recordAccepted(slot.running);
     }
   }
 }
