fix: crashes of a request whose identifier comes again count each

Cause: runs were told apart by the request's identifier and the attempt's number, which a caller's repetition and the VM that a request is forwarded to use again. Change: a run is named by these, the time of its dispatch and its server.

Red on: crash_guard_test "counts each crash of a request that comes again: true".

--- a/packages/entry/src/fleet/crash_guard.ts
+++ b/packages/entry/src/fleet/crash_guard.ts
@@ -25,7 +25,7 @@
   type ServerStart,
 } from "./crash_observer.ts";
 import type { FleetLog } from "./fleet_log.ts";
-import type { ProbedServer } from "./unresolved_attempts.ts";
+import { buildRunId, type ProbedServer } from "./unresolved_attempts.ts";
 
 /** Retry delay told to callers whose request is quarantined. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000;
@@ -245,9 +245,9 @@
     const { registry, clock, handleCrash } = this.#options;
     const nowMs = clock.readMonotonicMs();
     const runs = crash.attempts.map(
-      ({ request, attempt, ...run }) => ({
+      (run) => ({
         fingerprint: run.fingerprint,
-        id: `${request}/${attempt}`,
+        id: `${buildRunId(run)}/${crash.server}`,
         sentAtMs: run.sentAtMs,
         endedAtMs: run.wasGivenUp ? nowMs : run.endedAtMs,
         wasServerRunning: run.wasServerRunning,
--- a/packages/entry/src/fleet/unresolved_attempts.ts
+++ b/packages/entry/src/fleet/unresolved_attempts.ts
@@ -283,7 +283,21 @@
 }
 
 function buildKey(attempt: UnansweredAttempt): string {
-  return attempt.wasGivenUp
-    ? attempt.fingerprint
-    : `${attempt.request}/${attempt.attempt}`;
+  return attempt.wasGivenUp ? attempt.fingerprint : buildRunId(attempt);
+}
+
+/**
+ * Builds an identifier of one run. That of the request does not do, as its caller may
+ * send it again, and another VM counts its attempts as well.
+ *
+ * @param attempt - the attempt at a server
+ * @returns text that no other run at that server has
+ */
+export function buildRunId(
+  { request, attempt, sentAtMs }: Pick<
+    UnansweredAttempt,
+    "request" | "attempt" | "sentAtMs"
+  >,
+): string {
+  return `${request}/${attempt}/${Math.round(sentAtMs)}`;
 }
