fix: a connection that is passed over for its identifier makes room for the new one

If all idle connections to a server have carried the identifier, the oldest is closed. connection_history_test "do not carry an identifier twice": 3 open connections before, 1 now.

--- a/packages/entry/src/fakes/backend_exchange.ts
+++ b/packages/entry/src/fakes/backend_exchange.ts
@@ -86,6 +86,8 @@
   readonly ends: readonly AttemptEnd[];
   /** Connections that the server has accepted. */
   readonly connectionCount: number;
+  /** Connections that are open after the last answer. */
+  readonly openCount: number;
 }
 
 /**
@@ -119,10 +121,11 @@
     const id = options.id ?? String(index);
     ends.push(await sendOnce({ pool, port, id }, options));
   }
+  const { openCount } = pool;
   await pool.close();
   await new Promise((resolve) => server.close(resolve));
   expect(received).toBe(answers.length);
-  return { ends, connectionCount };
+  return { ends, connectionCount, openCount };
 }
 
 /**
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -82,7 +82,7 @@
   /**
    * Takes the idle connection that was used last, or prepares a new one. None that
    * has carried the identifier: a copy of the earlier response could not be told from
-   * the response that is due.
+   * the response that is due. If all have, the new one takes the place of the oldest.
    *
    * @param target - address of the server
    * @param id - identifier by which the response will be recognized; undefined if
@@ -94,8 +94,12 @@
     const index = idle.findLastIndex(({ answered }) =>
       id === undefined || !answered.has(id)
     );
-    const [found] = index < 0 ? [] : idle.splice(index, 1);
-    return found ?? this.#createConnection(target);
+    const [found] = idle.splice(Math.max(0, index), 1);
+    if (found !== undefined && index >= 0) {
+      return found;
+    }
+    found?.abort();
+    return this.#createConnection(target);
   }
 
   /**
--- a/packages/entry/src/serving/connection_history_test.ts
+++ b/packages/entry/src/serving/connection_history_test.ts
@@ -15,11 +15,12 @@
   });
 
   it("do not carry an identifier twice", async () => {
-    const { connectionCount, ends } = await sendInTurn(
+    const { connectionCount, openCount, ends } = await sendInTurn(
       [respond, respond, respond],
       { id: "same" },
     );
     expect(connectionCount).toBe(3);
+    expect(openCount).toBe(1);
     expect(ends.every(({ kind }) => kind === "complete")).toBe(true);
   });
 
