entry: refuse what waited too long before Node's HTTP server reads it

With a third of the processor, refusing 150 a second takes all of it, so the accept queue stays longer than half of the timeout, nothing is served, and with a few more callers it grows for as long as they come.

Change: while its connection waited for 100 ms or more, the first request of a plain connection is parsed from its first bytes. Anything else (a part of a request, chunks, an expectation, what may wait) goes to Node's server with its bytes.

--- a/packages/entry/src/dialect/native_dialect.ts
+++ b/packages/entry/src/dialect/native_dialect.ts
@@ -7,7 +7,11 @@
 import type { Result } from "@limpetford/domain/result";
 
 import type { RequestContext } from "../ports/request_context.ts";
-import type { Arrival, RequestTimes } from "../serving/arrival.ts";
+import type {
+  Arrival,
+  RequestTimes,
+  UnreadArrival,
+} from "../serving/arrival.ts";
 import type { ResponseHead } from "../serving/attempt_listener.ts";
 import type { AttemptRequest } from "../serving/attempt_message.ts";
 import {
@@ -36,6 +40,7 @@
 import {
   type AttemptDetails,
   type RefusalOptions,
+  type RequestHead,
   type ResponseClassification,
   ServingDialect,
 } from "./serving_dialect.ts";
@@ -87,8 +92,8 @@
   }
 
   override estimateTimes(
-    request: IncomingMessage,
-    arrival: Arrival,
+    request: RequestHead,
+    arrival: UnreadArrival,
   ): RequestTimes {
     return estimateRequestTimes(this.#ports.configuration, request, arrival);
   }
--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -4,14 +4,13 @@
 import type { Duplex } from "node:stream";
 
 import { WeightedRoundRobin } from "@limpetford/core/fleet/weighted_round_robin";
+import type { RandomSource } from "@limpetford/core/time/random_source";
 import type { HostRoute } from "@limpetford/domain/host_route";
 import { type RequestId, type TeamId, toId } from "@limpetford/domain/ids";
-import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
 import { makeError, makeOk, type Result } from "@limpetford/domain/result";
 import { ROUTE_ACCESS } from "@limpetford/domain/route";
 import { FORWARDED_HEADER } from "@limpetford/peer/fleet_calls";
 import {
-  buildRetryAfter,
   buildServerHeaders,
   type CallerRequestHeaders,
   isSetByVm,
@@ -26,6 +25,7 @@
   estimateTimes,
   type RequestTimes,
   UNLIMITED_TIMES,
+  type UnreadArrival,
 } from "../serving/arrival.ts";
 import type { ResponseHead } from "../serving/attempt_listener.ts";
 import type { AttemptRequest } from "../serving/attempt_message.ts";
@@ -46,21 +46,21 @@
 import { countHeaderBytes } from "./header_size.ts";
 import { computeTimeoutMs, parsePath } from "./host_route_timeout.ts";
 import { refuseMalformedCall } from "./malformed_call.ts";
-import { buildProblemResponse } from "./problem_response.ts";
+import {
+  buildRefusalResponse,
+  NOT_RUN_STATUSES,
+  renderLastResponse,
+} from "./platform_refusal.ts";
 import {
   type AttemptDetails,
   type RefusalOptions,
+  type RequestHead,
   type ResponseClassification,
   ServingDialect,
 } from "./serving_dialect.ts";
 
 /** Responses up to this size are buffered whole before they are forwarded. */
 const BUFFERED_RESPONSE_BYTES = 65_536;
-const STATUS_BAD_GATEWAY = 502;
-/** Statuses that guarantee that the request did not run and never will. */
-const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
-/** Retry delays are lengthened at random by up to this share. */
-const RETRY_JITTER_SHARE = 0.5;
 /** State and bounds of a {@link PlatformDialect}. */
 export interface PlatformDialectOptions {
   readonly state: FleetState;
@@ -153,8 +153,8 @@
   }
 
   override estimateTimes(
-    request: IncomingMessage,
-    arrival: Arrival,
+    request: RequestHead,
+    arrival: UnreadArrival,
   ): RequestTimes {
     const head = parseCallerHeaders(request.headers);
     const path = parsePath(request.url ?? "");
@@ -262,25 +262,10 @@
     refusal: Refusal,
     options: RefusalOptions,
   ): void {
-    const problem = buildProblemResponse(refusal);
-    const isStatusAccurate = refusal.outcome === REQUEST_OUTCOME.notRun ||
-      !NOT_RUN_STATUSES.has(problem.status);
-    const status = isStatusAccurate ? problem.status : STATUS_BAD_GATEWAY;
-    const body = Buffer.from(JSON.stringify({
-      error: refusal.kind,
-      detail: problem.detail,
-    }));
-    const headers = [
-      "content-type",
-      "application/json",
-      "content-length",
-      String(body.length),
-    ];
-    if (problem.retryAfterMs !== undefined && NOT_RUN_STATUSES.has(status)) {
-      const jitterFactor = 1 +
-        RETRY_JITTER_SHARE * options.random.sampleUniform();
-      headers.push(...buildRetryAfter(problem.retryAfterMs * jitterFactor));
-    }
+    const { status, headers, body } = buildRefusalResponse(
+      refusal,
+      options.random,
+    );
     if (options.isForwarded) {
       headers.push(FORWARDED_HEADER, toForwardedResult(refusal.outcome));
     }
@@ -291,6 +276,10 @@
     response.end(body);
   }
 
+  override renderRefusal(refusal: Refusal, random: RandomSource): string {
+    return renderLastResponse(buildRefusalResponse(refusal, random));
+  }
+
   override refuseMalformed(
     error: NodeJS.ErrnoException,
     socket: Duplex,
--- a/packages/entry/src/dialect/serving_dialect.ts
+++ b/packages/entry/src/dialect/serving_dialect.ts
@@ -10,7 +10,11 @@
 
 import type { RequestContext } from "../ports/request_context.ts";
 import type { AttemptOutcome } from "../ports/server_router.ts";
-import type { Arrival, RequestTimes } from "../serving/arrival.ts";
+import type {
+  Arrival,
+  RequestTimes,
+  UnreadArrival,
+} from "../serving/arrival.ts";
 import type { ResponseHead } from "../serving/attempt_listener.ts";
 import type { AttemptRequest } from "../serving/attempt_message.ts";
 import type { CallerExchange } from "../serving/caller_exchange.ts";
@@ -67,6 +71,9 @@
   readonly random: RandomSource;
 }
 
+/** What of a request's head decides on its timeout. */
+export type RequestHead = Pick<IncomingMessage, "headers" | "method" | "url">;
+
 /**
  * Parses and builds the heads of requests and responses. The pipeline that
  * processes requests in between is the same for every dialect.
@@ -113,13 +120,13 @@
   /**
    * Estimates the time in which a request can be served, before it is admitted.
    *
-   * @param request - the caller's request
+   * @param request - head of the caller's request
    * @param arrival - time of arrival
    * @returns the time; without limits if it is not known
    */
   abstract estimateTimes(
-    request: IncomingMessage,
-    arrival: Arrival,
+    request: RequestHead,
+    arrival: UnreadArrival,
   ): RequestTimes;
 
   /**
@@ -188,6 +195,18 @@
     options: RefusalOptions,
   ): void;
 
+  /**
+   * Renders the error response to a request that is refused before the HTTP server
+   * has parsed it. The response is the last one on its connection.
+   *
+   * @param _refusal - why the request is not served
+   * @param _random - source of the jitter
+   * @returns the whole response; undefined if the HTTP server has to refuse it
+   */
+  renderRefusal(_refusal: Refusal, _random: RandomSource): string | undefined {
+    return undefined;
+  }
+
   /**
    * Responds to a request that the HTTP parser rejected, and closes the
    * connection.
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -31,6 +31,9 @@
   createHttpServer,
 } from "./caller_server_limits.ts";
 import { closeServer } from "./close_server.ts";
+import { takeConnectionListener } from "./connection_listener.ts";
+import { EarlyRefuser } from "./early_refuser.ts";
+import { OpenExchanges } from "./open_exchanges.ts";
 
 const DEFAULT_LINGER_MS = 0;
 /** Length of the accept queue, for many callers that connect at once. */
@@ -52,26 +55,11 @@
   readonly #dialect: ServingDialect;
   readonly #loop: EventLoopMonitor;
   readonly #acceptQueue: AcceptQueueMonitor;
-  /** Requests that have not ended, by connection. */
-  readonly #exchanges = new Map<Duplex, CallerExchange[]>();
-  /** Connections whose end is observed. */
-  readonly #observedSockets = new WeakSet<Duplex>();
+  readonly #earlyRefuser: EarlyRefuser;
+  readonly #exchanges = new OpenExchanges();
   readonly #requestIdPrefix: string;
   // Shared by all requests, to avoid allocating closures for each of them.
   readonly #readStopping = (): boolean => this.#isStopping;
-  readonly #isFollowed = (exchange: CallerExchange): boolean =>
-    this.#exchanges.get(exchange.request.socket)?.at(-1) !== exchange;
-  readonly #releaseExchange = (exchange: CallerExchange): void => {
-    const { socket } = exchange.request;
-    const others = (this.#exchanges.get(socket) ?? []).filter((other) =>
-      other !== exchange
-    );
-    if (others.length === 0) {
-      this.#exchanges.delete(socket);
-    } else {
-      this.#exchanges.set(socket, others);
-    }
-  };
   #requestCount = 0;
   #isStopping = false;
   #isClosing = false;
@@ -115,7 +103,22 @@
     );
     this.#requestIdPrefix = options.requestIdPrefix ??
       Math.floor(ports.random.sampleUniform() * 0x1_0000_0000).toString(36);
-    this.#server = this.#createServer();
+    this.#server = createHttpServer(options);
+    this.#earlyRefuser = new EarlyRefuser({
+      clock: ports.clock,
+      random: ports.random,
+      loop: this.#loop,
+      acceptQueue: this.#acceptQueue,
+      arrivals: this.#pipeline.arrivals,
+      dialect: this.#dialect,
+      metrics: ports.metrics,
+      isEncrypted: options.tls !== undefined,
+      serve: takeConnectionListener(this.#server),
+      run: (socket, step) => {
+        this.#runFor(socket, step);
+      },
+    });
+    this.#addListeners(this.#server);
     ports.configuration.subscribe(() => {
       this.#retireConnections();
     });
@@ -258,7 +261,8 @@
   async stop(): Promise<void> {
     this.#isStopping = true;
     this.#acceptQueue.close();
-    const closed = closeServer(this.#server, this.#exchanges);
+    this.#earlyRefuser.close();
+    const closed = closeServer(this.#server, this.#exchanges.bySocket);
     this.#server.closeAllConnections();
     await Promise.all([
       closed,
@@ -281,17 +285,17 @@
     this.#isStopping = true;
     await new Promise((resolve) => setTimeout(resolve, lingerMs));
     this.#isClosing = true;
-    const closed = closeServer(this.#server, this.#exchanges);
+    const closed = closeServer(this.#server, this.#exchanges.bySocket);
     await this.#pipeline.waitIdle();
     await closed;
   }
 
-  #createServer(): http.Server {
-    const server = createHttpServer(this.#options);
+  #addListeners(server: http.Server): void {
     server.on("connection", (socket: Socket) => {
       this.#runFor(socket, () => {
         if (this.#acceptQueue.observeAccept(socket)) {
           trackConnection(this.#pipeline.memory, socket);
+          this.#earlyRefuser.accept(socket);
         }
       });
     });
@@ -303,12 +307,11 @@
     });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
       this.#runFor(socket, () => {
-        const isBusy = this.#exchanges.has(socket);
+        const isBusy = this.#exchanges.findLast(socket) !== undefined;
         this.#dialect.refuseMalformed(error, socket, isBusy);
         this.#ports.metrics?.count("malformed_requests");
       });
     });
-    return server;
   }
 
   // What is thrown ends the connection, and nothing else.
@@ -327,7 +330,7 @@
     forwarding?: ForwardingTerms,
   ): void {
     this.#runFor(request.socket, () => {
-      const before = this.#exchanges.get(request.socket)?.at(-1);
+      const before = this.#exchanges.findLast(request.socket);
       const hasEnded = request.socket.writableEnded;
       if (hasEnded || before?.isLastOnConnection === true) {
         // It crosses the close of its connection, and could not be answered.
@@ -353,36 +356,16 @@
       random: this.#ports.random,
       dialect: this.#dialect,
       isStopping: this.#readStopping,
-      isFollowed: this.#isFollowed,
-      releaseExchange: this.#releaseExchange,
+      isFollowed: this.#exchanges.isFollowed,
+      releaseExchange: this.#exchanges.release,
     });
-    this.#trackExchange(exchange);
+    this.#exchanges.track(exchange);
     if (this.#dialect.handleOwnRequest(exchange, this.#isStopping)) {
       return;
     }
     this.#pipeline.accept(exchange);
   }
 
-  // Node closes the connection some turns of the event loop after its end.
-  #trackExchange(exchange: CallerExchange): void {
-    const { socket } = exchange.request;
-    const others = this.#exchanges.get(socket) ?? [];
-    this.#exchanges.set(socket, [...others, exchange]);
-    if (!this.#observedSockets.has(socket)) {
-      this.#observedSockets.add(socket);
-      socket.once("end", () => {
-        this.#exchanges.get(socket)?.forEach((ended) => {
-          ended.handleEnd();
-        });
-      });
-      socket.once("close", () => {
-        this.#exchanges.get(socket)?.forEach((closed) => {
-          closed.handleClose();
-        });
-      });
-    }
-  }
-
   #resolveRequestId(request: http.IncomingMessage): RequestId {
     const given = this.#dialect.findRequestId(request);
     if (given !== undefined) {
--- a/packages/entry/src/serving/arrival.ts
+++ b/packages/entry/src/serving/arrival.ts
@@ -24,6 +24,12 @@
   readonly forwarding?: ForwardingTerms | undefined;
 }
 
+/** When a request arrived, as far as it is known. */
+export type UnreadArrival = Pick<
+  Arrival,
+  "receivedAtMs" | "minUnreadMs" | "likelyUnreadMs"
+>;
+
 /** The time in which a request can be served, in monotonic milliseconds. */
 export interface RequestTimes {
   readonly arrivedAtMs: number;
@@ -44,7 +50,7 @@
  * @returns when it arrived, and when its time is up
  */
 export function estimateTimes(
-  arrival: Arrival,
+  arrival: UnreadArrival,
   timeoutMs: number,
 ): RequestTimes {
   const arrivedAtMs = estimateArrivalMs(arrival, timeoutMs);
@@ -59,7 +65,7 @@
  * @returns monotonic time, in milliseconds
  */
 export function estimateArrivalMs(
-  { receivedAtMs, minUnreadMs, likelyUnreadMs }: Arrival,
+  { receivedAtMs, minUnreadMs, likelyUnreadMs }: UnreadArrival,
   timeoutMs: number,
 ): number {
   const estimatedMs = Math.min(likelyUnreadMs, timeoutMs * MAX_UNREAD_SHARE);
--- a/packages/entry/src/serving/arrival_queue.ts
+++ b/packages/entry/src/serving/arrival_queue.ts
@@ -23,6 +23,9 @@
 /** Least number of turns in which connections are accepted between two of those. */
 const ACCEPT_TURNS = 8;
 
+/** Least delay after which a caller comes back whom this VM had no time for. */
+export const MIN_RETRY_MS = 200;
+
 /** A request that was read. */
 export interface ReadRequest {
   /** Begins to serve it. */
@@ -106,7 +109,7 @@
     }
     const times = request.estimateTimes();
     if (!this.#mayWait(ahead, times, nowMs)) {
-      request.refuse(this.#waits.estimateMs(ahead));
+      request.refuse(this.#estimateRetryAfterMs(ahead));
     } else if (isFirst) {
       request.run();
     } else {
@@ -115,6 +118,21 @@
     }
   }
 
+  /**
+   * Decides whether a request that is read now would be refused.
+   *
+   * @param times - time in which it can be served
+   * @returns time in which the VM gets through its queue; undefined if it may wait
+   */
+  findRetryAfterMs(times: RequestTimes): number | undefined {
+    const nowMs = this.#clock.readMonotonicMs();
+    this.#observeTurn(nowMs);
+    const ahead = this.#requests.length;
+    return this.#mayWait(ahead, times, nowMs)
+      ? undefined
+      : this.#estimateRetryAfterMs(ahead);
+  }
+
   /**
    * Takes a step that rests on what has arrived: at once unless something may have
    * lain unread for a while.
@@ -131,6 +149,10 @@
     }
   }
 
+  #estimateRetryAfterMs(ahead: number): number {
+    return Math.max(MIN_RETRY_MS, this.#waits.estimateMs(ahead));
+  }
+
   #mayBeUnread(): boolean {
     return this.#loop.maxUnreadMs > MAX_UNREAD_MS;
   }
@@ -198,7 +220,7 @@
         return;
       }
       this.#requests.pop();
-      last.request.refuse(this.#waits.estimateMs(ahead));
+      last.request.refuse(this.#estimateRetryAfterMs(ahead));
       nowMs = this.#clock.readMonotonicMs();
     }
   }
--- a/packages/entry/src/serving/request_admission.ts
+++ b/packages/entry/src/serving/request_admission.ts
@@ -8,6 +8,7 @@
 import { type Route, ROUTE_ACCESS } from "@limpetford/domain/route";
 
 import { HEADER } from "../dialect/header_names.ts";
+import type { RequestHead } from "../dialect/serving_dialect.ts";
 import type { ConfigurationSource } from "../ports/configuration_source.ts";
 import type { RequestContext } from "../ports/request_context.ts";
 import {
@@ -16,6 +17,7 @@
   estimateTimes,
   type RequestTimes,
   UNLIMITED_TIMES,
+  type UnreadArrival,
 } from "./arrival.ts";
 import {
   hasCallerKey,
@@ -104,8 +106,8 @@
  */
 export function estimateRequestTimes(
   configuration: ConfigurationSource,
-  request: IncomingMessage,
-  arrival: Arrival,
+  request: RequestHead,
+  arrival: UnreadArrival,
 ): RequestTimes {
   const [path = ""] = (request.url ?? "").split("?", 1);
   const route = configuration.findRoute(request.method ?? "GET", path);
--- a/packages/entry/src/serving/request_pipeline.ts
+++ b/packages/entry/src/serving/request_pipeline.ts
@@ -14,7 +14,7 @@
   openEntrySpan,
   refuseOverRate,
 } from "./admitted_exchange.ts";
-import { ArrivalQueue } from "./arrival_queue.ts";
+import { ArrivalQueue, MIN_RETRY_MS } from "./arrival_queue.ts";
 import { AttemptSeries } from "./attempt_series.ts";
 import type { BackendConnectionPool } from "./backend_connection_pool.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
@@ -43,15 +43,14 @@
 import type { OutboundRequest } from "./response_receiver.ts";
 import type { ServingPorts } from "./serving_ports.ts";
 
-/** Least delay after which a caller comes back whom this VM had no time for. */
-const MIN_RETRY_MS = 200;
-
 /**
  * Serves requests: admits them, takes a token from the rate limiter, claims
  * those that are not idempotent, and sends them to backend servers.
  */
 export class RequestPipeline {
   readonly explanations = new RequestExplanations();
+  /** Requests that wait for their turn. */
+  readonly arrivals: ArrivalQueue;
   /** What open requests and connections hold. */
   readonly memory: MemoryBudget;
   readonly #ports: ServingPorts;
@@ -61,7 +60,6 @@
   readonly #claimedHandler: ClaimedRequestHandler;
   readonly #bodyBudget: BodyBudget;
   readonly #streamAboveBytes: number;
-  readonly #arrivals: ArrivalQueue;
   readonly #inFlight = new InFlightRequests();
   /** Unclaimed requests in flight; undefined until their attempts begin. */
   readonly #unclaimed = new Map<CallerExchange, AttemptSeries | undefined>();
@@ -89,7 +87,7 @@
   ) {
     const { ports, dialect, loop, acceptQueue } = dependencies;
     this.#ports = ports;
-    this.#arrivals = new ArrivalQueue(ports.clock, loop, acceptQueue);
+    this.arrivals = new ArrivalQueue(ports.clock, loop, acceptQueue);
     this.#dialect = dialect;
     this.#connections = connections.backend;
     this.#peerConnections = connections.peer;
@@ -103,7 +101,7 @@
       ports,
       dialect,
       connections,
-      arrivals: this.#arrivals,
+      arrivals: this.arrivals,
       bodyBudget: this.#bodyBudget,
       keptAnswerBytes: options.keptAnswerBytes ?? DEFAULT_STORED_RESPONSE_BYTES,
     });
@@ -160,13 +158,13 @@
       await exchange.closed;
       memory.close();
     };
-    this.#arrivals.begin({
+    this.arrivals.begin({
       run: () => {
         void this.#serve(exchange, memory).then(release);
       },
       refuse: (retryAfterMs) => {
         this.#ports.metrics?.count("queue_refusals");
-        this.#refuseBusy(exchange, Math.max(MIN_RETRY_MS, retryAfterMs));
+        this.#refuseBusy(exchange, retryAfterMs);
         void release();
       },
       estimateTimes: () => exchange.estimateTimes(),
@@ -338,7 +336,7 @@
           dialect: this.#dialect,
           connections: this.#connections,
           peerConnections: this.#peerConnections,
-          arrivals: this.#arrivals,
+          arrivals: this.arrivals,
           memory: admitted.memory,
           abort: (refusal) => {
             clearTimeout(timer);
@@ -350,7 +348,7 @@
         receiver,
       );
       const timer = setTimeout(() => {
-        this.#arrivals.runOnceRead(() => {
+        this.arrivals.runOnceRead(() => {
           series.expire();
         });
       }, context.deadlineAtMs - this.#ports.clock.readMonotonicMs());
