fix: a VM that is behind refuses before anything is made for a request

Now EarlyRefuser decides when Node's server has read the head: no exchange, no memory share, no record. A second request of that connection is not begun.

--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -4,7 +4,6 @@
 import type { Duplex } from "node:stream";
 
 import { WeightedRoundRobin } from "@limpetford/core/fleet/weighted_round_robin";
-import type { RandomSource } from "@limpetford/core/time/random_source";
 import type { HostRoute } from "@limpetford/domain/host_route";
 import { type RequestId, type TeamId, toId } from "@limpetford/domain/ids";
 import { makeError, makeOk, type Result } from "@limpetford/domain/result";
@@ -46,11 +45,7 @@
 import { countHeaderBytes } from "./header_size.ts";
 import { computeTimeoutMs, parsePath } from "./host_route_timeout.ts";
 import { refuseMalformedCall } from "./malformed_call.ts";
-import {
-  buildRefusalResponse,
-  NOT_RUN_STATUSES,
-  renderLastResponse,
-} from "./platform_refusal.ts";
+import { buildRefusalResponse, NOT_RUN_STATUSES } from "./platform_refusal.ts";
 import {
   type AttemptDetails,
   type RefusalOptions,
@@ -276,10 +271,6 @@
     response.end(body);
   }
 
-  override renderRefusal(refusal: Refusal, random: RandomSource): string {
-    return renderLastResponse(buildRefusalResponse(refusal, random));
-  }
-
   override refuseMalformed(
     error: NodeJS.ErrnoException,
     socket: Duplex,
--- a/packages/entry/src/dialect/platform_refusal.ts
+++ b/packages/entry/src/dialect/platform_refusal.ts
@@ -1,7 +1,5 @@
 /** Builds the platform's responses to refused requests. */
 
-import { STATUS_CODES } from "node:http";
-
 import type { RandomSource } from "@limpetford/core/time/random_source";
 import { REQUEST_OUTCOME } from "@limpetford/domain/request_outcome";
 import { buildRetryAfter } from "@limpetford/platform/store/http_headers";
@@ -59,19 +57,3 @@
   }
   return { status, headers, body };
 }
-
-/**
- * Renders a response that is the last one on its connection.
- *
- * @param response - the response; its body is plain ASCII
- * @returns the whole response
- */
-export function renderLastResponse(
-  { status, headers, body }: RefusalResponse,
-): string {
-  const lines = headers.map((value, index) =>
-    index % 2 === 0 ? `${value}: ` : `${value}\r\n`
-  );
-  return `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}\r\n` +
-    `${lines.join("")}connection: close\r\n\r\n${body}`;
-}
--- a/packages/entry/src/dialect/serving_dialect.ts
+++ b/packages/entry/src/dialect/serving_dialect.ts
@@ -195,18 +195,6 @@
     options: RefusalOptions,
   ): void;
 
-  /**
-   * Renders the error response to a request that is refused before the HTTP server
-   * has parsed it. The response is the last one on its connection.
-   *
-   * @param _refusal - why the request is not served
-   * @param _random - source of the jitter
-   * @returns the whole response; undefined if the HTTP server has to refuse it
-   */
-  renderRefusal(_refusal: Refusal, _random: RandomSource): string | undefined {
-    return undefined;
-  }
-
   /**
    * Responds to a request that the HTTP parser rejected, and closes the
    * connection.
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -31,8 +31,7 @@
   createHttpServer,
 } from "./caller_server_limits.ts";
 import { closeServer } from "./close_server.ts";
-import { takeConnectionListener } from "./connection_listener.ts";
-import { EarlyRefuser } from "./early_refuser.ts";
+import { EarlyRefuser, type UnservedRequest } from "./early_refuser.ts";
 import { OpenExchanges } from "./open_exchanges.ts";
 
 const DEFAULT_LINGER_MS = 0;
@@ -111,12 +110,8 @@
       acceptQueue: this.#acceptQueue,
       arrivals: this.#pipeline.arrivals,
       dialect: this.#dialect,
+      decisions: ports.decisions,
       metrics: ports.metrics,
-      isEncrypted: options.tls !== undefined,
-      serve: takeConnectionListener(this.#server),
-      run: (socket, step) => {
-        this.#runFor(socket, step);
-      },
     });
     this.#addListeners(this.#server);
     ports.configuration.subscribe(() => {
@@ -261,7 +256,6 @@
   async stop(): Promise<void> {
     this.#isStopping = true;
     this.#acceptQueue.close();
-    this.#earlyRefuser.close();
     const closed = closeServer(this.#server, this.#exchanges.bySocket);
     this.#server.closeAllConnections();
     await Promise.all([
@@ -295,7 +289,6 @@
       this.#runFor(socket, () => {
         if (this.#acceptQueue.observeAccept(socket)) {
           trackConnection(this.#pipeline.memory, socket);
-          this.#earlyRefuser.accept(socket);
         }
       });
     });
@@ -331,24 +324,32 @@
   ): void {
     this.#runFor(request.socket, () => {
       const before = this.#exchanges.findLast(request.socket);
-      const hasEnded = request.socket.writableEnded;
+      const hasEnded = request.socket.writableEnded ||
+        this.#earlyRefuser.hasRefused(request.socket);
       if (hasEnded || before?.isLastOnConnection === true) {
         // It crosses the close of its connection, and could not be answered.
         request.resume();
-      } else {
-        this.#open(request, response, forwarding);
+        return;
+      }
+      const unserved = {
+        id: this.#resolveRequestId(request),
+        request,
+        response,
+      };
+      const isFirst = before === undefined && forwarding === undefined;
+      if (!isFirst || !this.#earlyRefuser.refuse(unserved)) {
+        this.#open(unserved, forwarding);
       }
     });
   }
 
   #open(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
+    { id, request, response }: UnservedRequest,
     forwarding: ForwardingTerms | undefined,
   ): void {
     this.#loop.observeRead();
     const exchange = new CallerExchange(request, response, {
-      id: this.#resolveRequestId(request),
+      id,
       receivedAtMs: this.#ports.clock.readMonotonicMs(),
       maxUnreadMs: this.#loop.maxUnreadMs,
       ...this.#acceptQueue.estimateUnread(request.socket),
--- a/packages/entry/src/http/early_refuser.ts
+++ b/packages/entry/src/http/early_refuser.ts
@@ -1,22 +1,24 @@
 /** Refuses requests of connections that have waited too long to be accepted. */
 
-import type { Socket } from "node:net";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
 
 import type { Clock } from "@limpetford/core/time/clock";
 import type { RandomSource } from "@limpetford/core/time/random_source";
+import type { RequestId } from "@limpetford/domain/ids";
 
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
+import { type RequestTimes, UNLIMITED_TIMES } from "../serving/arrival.ts";
 import type { ArrivalQueue } from "../serving/arrival_queue.ts";
 import { refuseNotRun } from "../serving/refusal.ts";
+import type { DecisionLog } from "../telemetry/decision_log.ts";
 import type { ServingMetrics } from "../telemetry/serving_metrics.ts";
 import type { AcceptQueueMonitor } from "../vm/accept_queue_monitor.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
-import { parseRequestPreview } from "./request_preview.ts";
+import { closeBehindBody } from "./close_behind_body.ts";
 
 /** Least estimated wait of a connection whose request may be refused here. */
 const MIN_WAITED_MS = 100;
-/** Time for the request of a connection to arrive, and for its caller to close it. */
-const IDLE_TIMEOUT_MS = 1_000;
 
 /** What an {@link EarlyRefuser} depends on. */
 export interface EarlyRefuserOptions {
@@ -25,124 +27,114 @@
   readonly loop: Pick<EventLoopMonitor, "observeRead">;
   readonly acceptQueue: Pick<AcceptQueueMonitor, "estimateUnread">;
   readonly arrivals: Pick<ArrivalQueue, "findRetryAfterMs">;
-  readonly dialect: Pick<ServingDialect, "estimateTimes" | "renderRefusal">;
+  readonly dialect: Pick<ServingDialect, "estimateTimes" | "sendRefusal">;
+  readonly decisions?: DecisionLog | undefined;
   readonly metrics?: ServingMetrics | undefined;
-  /** True if requests can't be read without decrypting them. */
-  readonly isEncrypted: boolean;
-  /** Serves a connection; bytes that were read are returned to it before. */
-  readonly serve: (socket: Socket) => void;
-  /** Runs a step for a connection, and ends the connection if it throws. */
-  readonly run: (socket: Socket, step: () => void) => void;
+}
+
+/** A request of Node's HTTP server, and where its response goes. */
+export interface UnservedRequest {
+  readonly id: RequestId;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
 }
 
 /**
- * Refuses the first request of a connection without Node's HTTP server, which takes
- * about half of the time that serving does. A VM that refuses as slowly as it serves
- * never gets through an accept queue that is longer than its requests have time.
- * What is not refused, or not parsed here, is served as usual.
+ * Refuses a request that the queue would refuse before anything is made for it. A VM
+ * that refuses as slowly as it serves never gets through an accept queue that is longer
+ * than its requests have time.
  */
 export class EarlyRefuser {
   readonly #options: EarlyRefuserOptions;
-  /** Connections that nobody serves. */
-  readonly #sockets = new Set<Socket>();
+  /** Connections that are closed behind a refusal. */
+  readonly #refused = new WeakSet<Duplex>();
 
   /**
    * Prepares to refuse requests.
    *
-   * @param options - what decides on a request, and what serves the others
+   * @param options - what decides on a request, and what hears of it
    */
   constructor(options: EarlyRefuserOptions) {
     this.#options = options;
   }
 
   /**
-   * Serves a connection, or refuses its first request and closes it.
+   * Checks whether a refusal was the last response of a connection.
    *
-   * @param socket - connection that was accepted, of which nothing has been read
+   * @param socket - connection of a caller
+   * @returns true if no further request of it can be answered
    */
-  accept(socket: Socket): void {
-    const { acceptQueue, isEncrypted, serve } = this.#options;
-    const { likelyUnreadMs } = acceptQueue.estimateUnread(socket);
-    if (isEncrypted || likelyUnreadMs < MIN_WAITED_MS) {
-      serve(socket);
-    } else {
-      this.#readFirst(socket);
-    }
+  hasRefused(socket: Duplex): boolean {
+    return this.#refused.has(socket);
   }
 
-  /** Closes the connections that nobody serves. */
-  close(): void {
-    for (const socket of this.#sockets) {
-      socket.destroy();
+  /**
+   * Refuses a request whose connection has waited, if it can't be served in time.
+   *
+   * @param unserved - request of a caller, whose headers were read
+   * @returns false if it may be served; nothing was done then
+   */
+  refuse(unserved: UnservedRequest): boolean {
+    const { loop, acceptQueue, arrivals } = this.#options;
+    const { request } = unserved;
+    const unread = acceptQueue.estimateUnread(request.socket);
+    if (unread.likelyUnreadMs < MIN_WAITED_MS) {
+      return false;
     }
+    loop.observeRead();
+    const times = this.#estimateTimes(request, unread);
+    const retryAfterMs = arrivals.findRetryAfterMs(times);
+    if (retryAfterMs === undefined) {
+      return false;
+    }
+    this.#send(unserved, retryAfterMs);
+    return true;
   }
 
-  #readFirst(socket: Socket): void {
-    const pass = (): void => {
-      socket.off("data", handleData).off("end", handleEnd)
-        .off("close", handleClose).off("error", handleIgnoredError)
-        .off("timeout", pass).setTimeout(0);
-      this.#sockets.delete(socket);
-      this.#options.serve(socket);
-    };
-    const handleData = (bytes: Buffer): void => {
-      this.#options.run(socket, () => {
-        const response = this.#findResponse(socket, bytes);
-        if (response === undefined) {
-          socket.unshift(bytes);
-          pass();
-        } else {
-          socket.off("timeout", pass).on("timeout", handleLinger);
-          socket.end(response, "latin1");
-        }
-      });
-    };
-    const handleEnd = (): void => {
-      socket.destroySoon();
-    };
-    const handleClose = (): void => {
-      this.#sockets.delete(socket);
-    };
-    const handleLinger = (): void => {
-      socket.destroy();
-    };
-    this.#sockets.add(socket);
-    socket.setTimeout(IDLE_TIMEOUT_MS).once("data", handleData)
-      .on("timeout", pass).on("end", handleEnd).on("close", handleClose)
-      .on("error", handleIgnoredError);
-  }
-
-  // Undefined if the request is to be served, or its end is not known.
-  #findResponse(socket: Socket, bytes: Buffer): string | undefined {
-    const { clock, loop, acceptQueue, arrivals, dialect } = this.#options;
-    loop.observeRead();
-    const request = parseRequestPreview(bytes);
-    if (request === undefined) {
-      return undefined;
+  #estimateTimes(
+    request: IncomingMessage,
+    unread: ReturnType<AcceptQueueMonitor["estimateUnread"]>,
+  ): RequestTimes {
+    const { clock, dialect } = this.#options;
+    const receivedAtMs = clock.readMonotonicMs();
+    try {
+      return dialect.estimateTimes(request, { receivedAtMs, ...unread });
+    } catch {
+      // What is thrown here, the admission throws again.
+      return UNLIMITED_TIMES;
     }
-    const times = dialect.estimateTimes(request, {
-      receivedAtMs: clock.readMonotonicMs(),
-      ...acceptQueue.estimateUnread(socket),
-    });
-    const retryAfterMs = arrivals.findRetryAfterMs(times);
-    return retryAfterMs === undefined
-      ? undefined
-      : this.#renderRefusal(retryAfterMs);
   }
 
-  #renderRefusal(retryAfterMs: number): string | undefined {
-    const { dialect, metrics, random } = this.#options;
+  #send(
+    { id, request, response }: UnservedRequest,
+    retryAfterMs: number,
+  ): void {
+    const { dialect, decisions, metrics, random } = this.#options;
     const refusal = refuseNotRun("vm-busy", retryAfterMs);
-    const response = dialect.renderRefusal(refusal, random);
-    if (response !== undefined) {
-      metrics?.count("queue_refusals");
-      metrics?.count("requests", `answer:${refusal.kind}`);
+    this.#refused.add(request.socket);
+    request.on("error", handleIgnoredError);
+    response.on("error", handleIgnoredError);
+    if (!request.complete) {
+      closeBehindBody(request);
     }
-    return response;
+    dialect.sendRefusal(response, refusal, {
+      requestId: id,
+      isLastOnConnection: true,
+      isForwarded: false,
+      random,
+    });
+    metrics?.count("queue_refusals");
+    metrics?.count("requests", `answer:${refusal.kind}`);
+    decisions?.recordEnd({
+      requestId: id,
+      refusal,
+      status: response.statusCode,
+      durationMs: 0,
+    });
   }
 }
 
-// The "close" event follows.
+// The connection closes behind the response in any case.
 function handleIgnoredError(): void {
   return;
 }
