fix: a response without end fills the heap no more

Callers saw: a server that sent headers without end ended a VM's process by the heap's limit (64 MB), with all other requests.

Cause: the HTTP client's parser makes two buffers of each header or trailer, counts the bytes of names and values only, and notices that its socket was closed only after the whole packet of 64 KB. "x: y" has 16,384 headers before the limit of 32 KB, all held up to the end of the head; from then on each further name and value of the packet makes an error with a stack, and there the heap ended (the printed stack). And each chunk of a body was written to the caller by itself: 10,915 writes of one byte, after the caller had asked to wait at the first.

Change: ParserInput hands the parser at most 16 KB and 256 lines at once, and nothing more after 64 KB or 1,024 lines without a part of a body (a head, blank lines, informational responses, trailers, an idle connection).

--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -17,6 +17,7 @@
 } from "./attempt_message.ts";
 import type { BackendConnection } from "./backend_connection.ts";
 import { EarlierCopies } from "./earlier_copies.ts";
+import { PendingBody } from "./pending_body.ts";
 import type { ReadFlowOptions } from "./read_flow.ts";
 import {
   checkResponseFraming,
@@ -56,7 +57,7 @@
   #hasHead = false;
   /** Set if the response ends with its connection. */
   #unsizedBody: UnsizedBody | undefined;
-  #pendingChunk: Buffer | undefined;
+  readonly #pending = new PendingBody();
   #isFlushScheduled = false;
   #hasEnded = false;
   #isFinished = false;
@@ -184,6 +185,7 @@
       return;
     }
     this.#bytesReadBefore = this.#connection.bytesRead;
+    this.#connection.observeProgress();
     this.#connection.dataListener = this.#guard.bind(() => {
       this.#checkFraming();
     });
@@ -201,6 +203,7 @@
       return;
     }
     this.#firstByteAtMs = this.#clock.readMonotonicMs();
+    this.#connection.observeProgress();
     const { request } = this;
     const { answeredIds } = this.#connection;
     const owner = findResponseOwner(request.identity, headers, answeredIds);
@@ -240,6 +243,7 @@
     if (this.#isFinished) {
       return;
     }
+    this.#connection.observeProgress();
     if (this.#copies.isReceiving) {
       this.#copies.drop(chunk);
       return;
@@ -249,12 +253,9 @@
       this.#reportFailure({ outcome: "cut", isMalformed: true });
       return;
     }
-    const previous = this.#pendingChunk;
-    this.#pendingChunk = chunk;
+    const previous = this.#pending.add(chunk);
     this.#scheduleFlush();
-    if (previous !== undefined) {
-      this.#deliver(previous);
-    }
+    this.#deliver(previous);
   }
 
   /** Called by the HTTP client at the end of the response. */
@@ -290,7 +291,8 @@
   #checkFraming(): void {
     const read = this.#connection.bytesRead - this.#bytesReadBefore;
     const bodyBytes = this.#responseBytes + this.#copies.bytes;
-    if (read > computeMaxResponseBytes(bodyBytes)) {
+    const maxBytes = computeMaxResponseBytes(bodyBytes);
+    if (read > maxBytes || this.#connection.hasExcess) {
       this.#reportFailure({ outcome: this.#findBreak(), isMalformed: true });
     }
   }
@@ -316,25 +318,23 @@
     if (this.#isFinished) {
       return;
     }
-    const chunk = this.#pendingChunk;
-    this.#pendingChunk = undefined;
     if (!this.#hasEnded) {
-      if (chunk !== undefined) {
-        this.#deliver(chunk);
-      }
+      this.#deliver(this.#pending.take());
     } else if (this.#connection.hasUnsolicitedBytes()) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
+    } else if (this.#connection.hasUnparsedBytes()) {
+      this.#connection.resumeReading();
+      this.#scheduleFlush();
     } else if (this.#unsizedBody?.isCut(this.#isSuccess) === true) {
       this.#reportFailure({ outcome: "cut", isMalformed: false });
     } else {
-      this.#complete(chunk);
+      this.#complete();
     }
   }
 
-  #complete(chunk: Buffer | undefined): void {
+  #complete(): void {
     const verified = this.#unsizedBody?.verifyServer();
     if (verified !== undefined) {
-      this.#pendingChunk = chunk;
       verified.then(() => {
         this.#flush();
       }).catch((error: unknown) => {
@@ -346,7 +346,7 @@
     this.#guard.offer(() => {
       this.#releaseConnection();
     });
-    this.#listener.receiveEnd(this, chunk);
+    this.#listener.receiveEnd(this, this.#pending.take());
   }
 
   // A copy of an earlier response has begun; the response to this attempt follows.
@@ -376,8 +376,8 @@
     this.#unsizedBody?.close();
   }
 
-  #deliver(chunk: Buffer): void {
-    if (!this.#listener.receiveChunk(this, chunk)) {
+  #deliver(chunk: Buffer | undefined): void {
+    if (chunk !== undefined && !this.#listener.receiveChunk(this, chunk)) {
       this.#unsizedBody?.observeHold();
       this.#connection.stopReading();
     }
--- a/packages/entry/src/serving/backend_connection.ts
+++ b/packages/entry/src/serving/backend_connection.ts
@@ -7,6 +7,7 @@
 
 import type { ResponseHead } from "./attempt_listener.ts";
 import type { ResponseIdentity } from "./attempt_message.ts";
+import { ParserInput } from "./parser_input.ts";
 
 /** Earlier requests of a connection of which a copy of the response is expected. */
 const MAX_ANSWERED_IDS = 8;
@@ -40,7 +41,7 @@
   socket: Socket | undefined;
   /** Monotonic time at which it was, in milliseconds. */
   connectedAtMs = Infinity;
-  /** Called when bytes have arrived that are not parsed yet. */
+  /** Called before bytes are parsed. */
   dataListener: (() => void) | undefined;
   /** Number of requests that this connection has completed. */
   servedCount = 0;
@@ -48,7 +49,7 @@
   answeredIds: readonly string[] = [];
   /** True if the connection sends no further request. */
   #isReceivingOnly = false;
-  #isReadingStopped = false;
+  #input: ParserInput | undefined;
   #hasNamed = false;
   /** Monotonic time of the last release, in milliseconds. */
   idleSinceMs = 0;
@@ -77,6 +78,36 @@
     return this.socket?.bytesRead ?? 0;
   }
 
+  /**
+   * Begins to use the socket that has been established.
+   *
+   * @param socket - connection to the server
+   */
+  bindSocket(socket: Socket): void {
+    this.socket = socket;
+    this.#input = new ParserInput(socket, () => {
+      if (this.dataListener !== undefined) {
+        this.dataListener();
+      } else if (this.hasExcess) {
+        socket.destroy(new Error(UNSOLICITED_RESPONSE_MESSAGE));
+      }
+    });
+  }
+
+  /**
+   * Whether more came without progress than the head of a response can have.
+   *
+   * @returns true if nothing more is read
+   */
+  get hasExcess(): boolean {
+    return this.#input?.hasExcess === true;
+  }
+
+  /** Observes that a request, a response or a part of its body begins. */
+  observeProgress(): void {
+    this.#input?.observeProgress();
+  }
+
   /**
    * Returns the connection to its pool after a complete response.
    *
@@ -194,27 +225,21 @@
    * connection ends meanwhile, an assertion of its parser fails.
    */
   stopReading(): void {
-    if (this.socket !== undefined && !this.#isReadingStopped) {
-      this.#isReadingStopped = true;
-      this.socket.read = (): null => null;
-    }
+    this.#input?.stop();
   }
 
   /** Lets the HTTP client read again what it may not since `stopReading`. */
   resumeReading(): void {
-    const { socket } = this;
-    if (socket === undefined || !this.#isReadingStopped) {
-      return;
-    }
-    this.#isReadingStopped = false;
-    // Uncovers the method of the prototype.
-    Reflect.deleteProperty(socket, "read");
-    // The caller may be within the parser, which cannot be entered twice.
-    process.nextTick(() => {
-      if (!socket.destroyed) {
-        socket.emit("readable");
-      }
-    });
+    this.#input?.resume();
+  }
+
+  /**
+   * Checks whether something is left to the parser, which then tells what it is.
+   *
+   * @returns false if all that was read has been parsed, or the connection is closed
+   */
+  hasUnparsedBytes(): boolean {
+    return this.socket?.destroyed === false && this.socket.readableLength > 0;
   }
 
   /** Drops whatever is written to the socket from now on. */
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -178,11 +178,10 @@
           return;
         }
         connect(options, (...outcome) => {
-          connection.socket = outcome[1] ?? undefined;
+          if (outcome[1] !== null) {
+            connection.bindSocket(outcome[1]);
+          }
           connection.connectedAtMs = this.#clock.readMonotonicMs();
-          connection.socket?.on("readable", () => {
-            connection.dataListener?.();
-          });
           callback(...outcome);
         });
       },
--- /dev/null
+++ b/packages/entry/src/serving/parser_input.ts
@@ -0,0 +1,110 @@
+/** Bounds what the HTTP client's parser takes at once, and without a body. */
+
+import type { Socket } from "node:net";
+
+/** Bytes that are parsed at once. */
+const MAX_PART_BYTES = 16_384;
+/** Lines that are parsed at once; the parser makes two objects of each. */
+const MAX_PART_LINES = 256;
+/** Bytes of a head or of trailers, with what the parser's own limit leaves out. */
+const MAX_HEAD_BYTES = 65_536;
+/** Lines of a head or of trailers. */
+const MAX_HEAD_LINES = 1_024;
+const LINE_FEED = 10;
+
+type ReadBytes = (size?: number) => Buffer | null;
+
+/**
+ * What one connection brings, handed to the parser in parts. The parser makes objects
+ * of each line and keeps them up to the end of the head; it notices only after the
+ * whole part that its connection was closed.
+ */
+export class ParserInput {
+  readonly #socket: Socket;
+  readonly #handleNext: () => void;
+  readonly #read: ReadBytes;
+  #isStopped = false;
+  /** Of the parts since the last progress. */
+  #bytes = 0;
+  #lines = 0;
+
+  /**
+   * Takes over the reads of a socket.
+   *
+   * @param socket - connection that was established
+   * @param handleNext - called before a part is parsed; may close the connection
+   */
+  constructor(socket: Socket, handleNext: () => void) {
+    this.#socket = socket;
+    this.#handleNext = handleNext;
+    this.#read = socket.read.bind(socket) as ReadBytes;
+    socket.read = (size?: number): Buffer | null => this.#readPart(size);
+  }
+
+  /**
+   * Whether more came without progress than a head can have.
+   *
+   * @returns true if nothing more is handed to the parser
+   */
+  get hasExcess(): boolean {
+    return this.#bytes > MAX_HEAD_BYTES || this.#lines > MAX_HEAD_LINES;
+  }
+
+  /** Observes that a request, a response or a part of its body begins. */
+  observeProgress(): void {
+    this.#bytes = 0;
+    this.#lines = 0;
+  }
+
+  /** Leaves what arrives in the socket's buffer, and the end behind it. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** Continues after `stop`. */
+  resume(): void {
+    if (!this.#isStopped) {
+      return;
+    }
+    this.#isStopped = false;
+    const socket = this.#socket;
+    // The caller may be within the parser, which cannot be entered twice.
+    process.nextTick(() => {
+      if (!socket.destroyed) {
+        socket.emit("readable");
+      }
+    });
+  }
+
+  #readPart(size: number | undefined): Buffer | null {
+    const { readableLength } = this.#socket;
+    if (this.#isStopped) {
+      return null;
+    }
+    if (size === 0 || readableLength === 0) {
+      return this.#read(size);
+    }
+    this.#handleNext();
+    if (this.hasExcess || this.#socket.destroyed) {
+      return null;
+    }
+    const part = this.#read(Math.min(readableLength, MAX_PART_BYTES));
+    return part === null ? null : this.#splitPart(part);
+  }
+
+  #splitPart(part: Buffer): Buffer {
+    let length = 0;
+    let lines = 0;
+    while (lines < MAX_PART_LINES && length < part.length) {
+      const lineEnd = part.indexOf(LINE_FEED, length);
+      lines += lineEnd < 0 ? 0 : 1;
+      length = lineEnd < 0 ? part.length : lineEnd + 1;
+    }
+    this.#bytes += length;
+    this.#lines += lines;
+    if (length < part.length) {
+      this.#socket.unshift(part.subarray(length));
+    }
+    return part.subarray(0, length);
+  }
+}
