fix: connections that bring much are parsed in turns

Callers saw: 503 for a quarter to a third of all requests (52 and 67 of 200) while eight servers sent chunks of 8 bytes without end, though eight sound servers were idle.

Cause: libuv reads a connection up to 32 times in a turn of the event loop and each packet was parsed at once: 2 MB of one connection, 160,000 chunks, before anything else ran.

Change: ParseTurns. A connection parses four parts (each at most 16 KB and 256 lines) in a turn, all together 32 besides the first of each; the rest waits in the socket's buffer, which stops the reads. A response of one part never waits.

--- a/packages/entry/src/serving/backend_connection.ts
+++ b/packages/entry/src/serving/backend_connection.ts
@@ -7,6 +7,7 @@
 
 import type { ResponseHead } from "./attempt_listener.ts";
 import type { ResponseIdentity } from "./attempt_message.ts";
+import type { ParseTurns } from "./parse_turns.ts";
 import { ParserInput } from "./parser_input.ts";
 
 /** Earlier requests of a connection of which a copy of the response is expected. */
@@ -82,16 +83,18 @@
    * Begins to use the socket that has been established.
    *
    * @param socket - connection to the server
+   * @param turns - shares the parser among the connections of the pool
    */
-  bindSocket(socket: Socket): void {
+  bindSocket(socket: Socket, turns: ParseTurns): void {
     this.socket = socket;
-    this.#input = new ParserInput(socket, () => {
+    const handleNext = (): void => {
       if (this.dataListener !== undefined) {
         this.dataListener();
       } else if (this.hasExcess) {
         socket.destroy(new Error(UNSOLICITED_RESPONSE_MESSAGE));
       }
-    });
+    };
+    this.#input = new ParserInput(socket, { handleNext, turns });
   }
 
   /**
--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -12,6 +12,7 @@
   BackendConnection,
   type ConnectionOwner,
 } from "./backend_connection.ts";
+import { ParseTurns } from "./parse_turns.ts";
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
@@ -49,6 +50,7 @@
   readonly #open = new Map<Client, BackendConnection>();
   readonly #noReuseUntilMs = new Map<string, number>();
   readonly #clock: Clock;
+  readonly #turns = new ParseTurns();
   readonly #owner: ConnectionOwner = {
     release: (connection) => {
       this.#keepIdle(connection);
@@ -179,7 +181,7 @@
         }
         connect(options, (...outcome) => {
           if (outcome[1] !== null) {
-            connection.bindSocket(outcome[1]);
+            connection.bindSocket(outcome[1], this.#turns);
           }
           connection.connectedAtMs = this.#clock.readMonotonicMs();
           callback(...outcome);
--- a/packages/entry/src/serving/parser_input.ts
+++ b/packages/entry/src/serving/parser_input.ts
@@ -2,6 +2,8 @@
 
 import type { Socket } from "node:net";
 
+import type { ParseTurns } from "./parse_turns.ts";
+
 /** Bytes that are parsed at once. */
 const MAX_PART_BYTES = 16_384;
 /** Lines that are parsed at once; the parser makes two objects of each. */
@@ -12,6 +14,14 @@
 const MAX_HEAD_LINES = 1_024;
 const LINE_FEED = 10;
 
+/** Dependencies of a {@link ParserInput}. */
+export interface ParserInputOptions {
+  /** Called before a part is parsed; may close the connection. */
+  readonly handleNext: () => void;
+  /** Shares the parser with other connections. */
+  readonly turns: ParseTurns;
+}
+
 type ReadBytes = (size?: number) => Buffer | null;
 
 /**
@@ -21,7 +31,7 @@
  */
 export class ParserInput {
   readonly #socket: Socket;
-  readonly #handleNext: () => void;
+  readonly #options: ParserInputOptions;
   readonly #read: ReadBytes;
   #isStopped = false;
   /** Of the parts since the last progress. */
@@ -32,11 +42,11 @@
    * Takes over the reads of a socket.
    *
    * @param socket - connection that was established
-   * @param handleNext - called before a part is parsed; may close the connection
+   * @param options - what is asked before a part is parsed
    */
-  constructor(socket: Socket, handleNext: () => void) {
+  constructor(socket: Socket, options: ParserInputOptions) {
     this.#socket = socket;
-    this.#handleNext = handleNext;
+    this.#options = options;
     this.#read = socket.read.bind(socket) as ReadBytes;
     socket.read = (size?: number): Buffer | null => this.#readPart(size);
   }
@@ -67,15 +77,16 @@
       return;
     }
     this.#isStopped = false;
-    const socket = this.#socket;
     // The caller may be within the parser, which cannot be entered twice.
-    process.nextTick(() => {
-      if (!socket.destroyed) {
-        socket.emit("readable");
-      }
-    });
+    process.nextTick(this.#offerMore);
   }
 
+  readonly #offerMore = (): void => {
+    if (!this.#socket.destroyed) {
+      this.#socket.emit("readable");
+    }
+  };
+
   #readPart(size: number | undefined): Buffer | null {
     const { readableLength } = this.#socket;
     if (this.#isStopped) {
@@ -84,10 +95,13 @@
     if (size === 0 || readableLength === 0) {
       return this.#read(size);
     }
-    this.#handleNext();
+    this.#options.handleNext();
     if (this.hasExcess || this.#socket.destroyed) {
       return null;
     }
+    if (!this.#options.turns.take(this, this.#offerMore)) {
+      return null;
+    }
     const part = this.#read(Math.min(readableLength, MAX_PART_BYTES));
     return part === null ? null : this.#splitPart(part);
   }
