--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -12,6 +12,7 @@
   BackendConnection,
   type ConnectionOwner,
 } from "./backend_connection.ts";
+import { ParseTurns } from "./parse_turns.ts";
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 const DEFAULT_IDLE_TIMEOUT_MS = 4_000;
@@ -49,6 +50,7 @@
   readonly #open = new Map<Client, BackendConnection>();
   readonly #noReuseUntilMs = new Map<string, number>();
   readonly #clock: Clock;
+  readonly #turns = new ParseTurns();
   readonly #owner: ConnectionOwner = {
     issueNumber: () => ++this.#lastNumber,
     release: (connection) => {
@@ -181,11 +183,10 @@
           return;
         }
         connect(options, (...outcome) => {
-          connection.socket = outcome[1] ?? undefined;
+          if (outcome[1] !== null) {
+            connection.bindSocket(outcome[1], this.#turns);
+          }
           connection.connectedAtMs = this.#clock.readMonotonicMs();
-          connection.socket?.on("readable", () => {
-            connection.dataListener?.();
-          });
           callback(...outcome);
         });
       },
