fix: a refused connect fails at once again

Callers saw (on only, never landed): 504 after the timeout in place of 503 or of another server, if a server or VM did not listen.

Cause: undici calls back with one argument after a failed connect, so the socket is undefined, not null; ParserInput threw on it and the request was left waiting.

Change: no socket, nothing to bind, as before.

--- a/packages/entry/src/serving/backend_connection_pool.ts
+++ b/packages/entry/src/serving/backend_connection_pool.ts
@@ -180,8 +180,9 @@
           return;
         }
         connect(options, (...outcome) => {
-          if (outcome[1] !== null) {
-            connection.bindSocket(outcome[1], this.#turns);
+          const socket = outcome[1] ?? undefined;
+          if (socket !== undefined) {
+            connection.bindSocket(socket, this.#turns);
           }
           connection.connectedAtMs = this.#clock.readMonotonicMs();
           callback(...outcome);
