--- a/packages/entry/src/serving/refused_connect_test.ts
+++ b/packages/entry/src/serving/refused_connect_test.ts
@@ -19,7 +19,7 @@
   it("fails at once", async () => {
     const pool = new BackendConnectionPool(new SystemClock());
     const port = await findClosedPort();
-    const { client } = pool.acquire({ host: "127.0.0.1", port });
+    const { client } = pool.acquire({ host: "127.0.0.1", port }, "1");
     await expect(client.request({ method: "GET", path: "/" }))
       .rejects.toMatchObject({ code: "ECONNREFUSED" });
     await pool.close();
