--- a/packages/core/src/limits/team_shares.ts
+++ b/packages/core/src/limits/team_shares.ts
@@ -144,32 +144,6 @@
     return this.#hasPeers && nowMs - this.#reportedAtMs > ISOLATED_AFTER_MS;
   }
 
-  /**
-   * Checks whether a VM has a share of its own, as far as this VM knows.
-   *
-   * @param vm - the other VM
-   * @param nowMs - monotonic time
-   * @returns true for a leader until its last report expires
-   */
-  hasShare(vm: VmId, nowMs: number): boolean {
-    const peer = this.#peers.get(vm);
-    return peer !== undefined && nowMs - peer.reportedAtMs <= PEER_EXPIRY_MS;
-  }
-
-  /**
-   * Counts the leaders whose share is still theirs although they lead no more, as
-   * far as this VM knows.
-   *
-   * @param leaders - the present leaders
-   * @param nowMs - monotonic time
-   * @returns number of other VMs
-   */
-  countFormerLeaders(leaders: readonly VmId[], nowMs: number): number {
-    return [...this.#peers.keys()].filter((vm) =>
-      !leaders.includes(vm) && this.hasShare(vm, nowMs)
-    ).length;
-  }
-
   /**
    * Computes this VM's share of a team's limit.
    *
--- a/packages/entry/src/fleet/shared_rate_limiter.ts
+++ b/packages/entry/src/fleet/shared_rate_limiter.ts
@@ -5,7 +5,6 @@
   SharedBucket,
   type SharedLimit,
 } from "@limpetford/core/limits/shared_bucket";
-import { computeSideShare } from "@limpetford/core/limits/side_share";
 import {
   DemandAverages,
   type TeamDemand,
@@ -22,7 +21,6 @@
 import type { FleetLog } from "./fleet_log.ts";
 import type { FleetPeers } from "./fleet_peers.ts";
 import type { FleetState } from "./fleet_state.ts";
-import { ZoneContactTable } from "./zone_contact_table.ts";
 
 /** Teams with fewer requests per second are not reported to other VMs. */
 const MIN_REPORTED_RATE = 0.05;
@@ -86,7 +84,6 @@
   readonly #nonLeaderBuckets = new Map<TeamId, SharedBucket>();
   readonly #shares = new TeamShares();
   readonly #accrued: AccruedTokens;
-  readonly #contacts: ZoneContactTable;
   readonly #startedAtMs: number;
   #resolveFirstReport: () => void = () => undefined;
   /** Resolves when another VM has reported for the first time. */
@@ -109,7 +106,6 @@
     this.#options = options;
     this.#startedAtMs = options.clock.readMonotonicMs();
     this.#accrued = new AccruedTokens(options);
-    this.#contacts = new ZoneContactTable({ ...options, shares: this.#shares });
     this.#shares.setHasPeers(options.hasOtherSeeds);
   }
 
@@ -135,7 +131,6 @@
    */
   applyConfirmation(vm: VmId, sentAtMs: number | undefined): void {
     this.#confirmed.recordConfirmation(vm, sentAtMs);
-    this.#contacts.recordConfirmation(vm, sentAtMs);
   }
 
   /**
@@ -281,33 +276,21 @@
   }
 
   #computeShare(team: TeamId, nowMs: number): number {
-    if (this.#options.peers.ownLeaderSinceMs === undefined) {
+    const { peers, self, state } = this.#options;
+    if (peers.ownLeaderSinceMs === undefined) {
       return NON_LEADER_SHARE;
     }
-    const share = this.#computeFleetShare(team, nowMs);
-    // The share of an isolated VM is part of what the others leave to it.
-    return this.#shares.isIsolated(nowMs)
-      ? share
-      : computeSideShare(share, this.#contacts.countContacts());
-  }
-
-  // As if all VMs of the zone heard this leader.
-  #computeFleetShare(team: TeamId, nowMs: number): number {
-    const { peers, self, state } = this.#options;
     const leaders = peers.listLeaders().map((vm) => vm.incarnation.vm);
     const others = leaders.filter((vm) => vm !== self.incarnation.vm);
     const rate = Math.min(
       this.#averages.readRate(team, nowMs),
       this.#confirmed.readRate(team, others),
     );
-    const { zonesWithoutLeader } = this.#contacts.countContacts();
-    const leaderCount = leaders.length + zonesWithoutLeader +
-      this.#shares.countFormerLeaders(leaders, nowMs);
     const share = this.#shares.computeShare(
       team,
       {
         rate,
-        leaderCount,
+        leaderCount: leaders.length,
         vmCount: state.listVms().length,
       },
       nowMs,
@@ -334,17 +317,10 @@
     return {
       ratePerSecond: found.ratePerSecond,
       burst: found.burst,
-      reserve: mayGrantAhead
-        ? tolerance * RESERVE_SHARE / leaderCount * this.#computeHeardShare()
-        : 0,
+      reserve: mayGrantAhead ? tolerance * RESERVE_SHARE / leaderCount : 0,
     };
   }
 
-  #computeHeardShare(): number {
-    const { zoneVms, silentVms } = this.#contacts.countContacts();
-    return 1 - silentVms / zoneVms;
-  }
-
   #recordRefusal(
     team: TeamId,
     request: RequestContext,
