--- a/packages/standins/src/fleet/vm_process_handle.ts
+++ b/packages/standins/src/fleet/vm_process_handle.ts
@@ -51,6 +51,8 @@
   readonly scriptPath?: string;
   /** Flags of Node, such as the size of the heap; none by default. */
   readonly nodeFlags?: readonly string[];
+  /** Descriptors that the process may open; as many as this one by default. */
+  readonly maxDescriptors?: number | undefined;
 }
 
 /** Start of a VM's process. */
@@ -138,8 +140,15 @@
 
   /** Starts the process and collects its output in `log`. */
   start(): void {
-    const { scriptPath, nodeFlags } = this.program;
-    const child = spawn(process.execPath, [
+    const { scriptPath, nodeFlags, maxDescriptors } = this.program;
+    const limited = maxDescriptors === undefined ? [] : [
+      "-c",
+      `ulimit -n ${maxDescriptors} && exec "$0" "$@"`,
+      process.execPath,
+    ];
+    const command = maxDescriptors === undefined ? process.execPath : "/bin/sh";
+    const child = spawn(command, [
+      ...limited,
       ...nodeFlags ?? [],
       "--require",
       path.resolve(PRELOAD_PATH),
