--- a/packages/entry/src/dialect/forwarded_messages.ts
+++ b/packages/entry/src/dialect/forwarded_messages.ts
@@ -1,6 +1,6 @@
 /** Builds and reads the heads of forwarded requests and their responses. */
 
-import { FORWARDED_HEADER } from "@limpetford/peer/fleet_calls";
+import { FORWARDED_HEADER } from "@limpetford/peer/call_protocol";
 import { parseRetryAfterMs } from "@limpetford/platform/store/http_headers";
 
 import type { RequestContext } from "../ports/request_context.ts";
--- a/packages/entry/src/dialect/forwarding_headers.ts
+++ b/packages/entry/src/dialect/forwarding_headers.ts
@@ -5,7 +5,7 @@
   REQUEST_OUTCOME,
   type RequestOutcome,
 } from "@limpetford/domain/request_outcome";
-import { FORWARDED_HEADER } from "@limpetford/peer/fleet_calls";
+import { FORWARDED_HEADER } from "@limpetford/peer/call_protocol";
 
 /** What the response to a forwarded request is. */
 export const FORWARDED_RESULT = {
--- a/packages/entry/src/dialect/platform_dialect.ts
+++ b/packages/entry/src/dialect/platform_dialect.ts
@@ -8,7 +8,7 @@
 import { type RequestId, type TeamId, toId } from "@limpetford/domain/ids";
 import { makeError, makeOk, type Result } from "@limpetford/domain/result";
 import { ROUTE_ACCESS } from "@limpetford/domain/route";
-import { FORWARDED_HEADER } from "@limpetford/peer/fleet_calls";
+import { FORWARDED_HEADER } from "@limpetford/peer/call_protocol";
 import {
   buildServerHeaders,
   type CallerRequestHeaders,
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -3,10 +3,8 @@
 import { EVIDENCE } from "@limpetford/core/placement/gray_failure_estimator";
 import type { VmId } from "@limpetford/domain/ids";
 import type { SocketAddress, Vm } from "@limpetford/domain/vm";
-import {
-  type FleetCallClient,
-  FleetCallServer,
-} from "@limpetford/peer/fleet_calls";
+import { FleetCallServer } from "@limpetford/peer/fleet_call_server";
+import type { FleetCallClient } from "@limpetford/peer/fleet_calls";
 import type {
   EvidenceRow,
   FleetSyncHandlers,
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -6,7 +6,7 @@
 
 import { type RequestId, toId } from "@limpetford/domain/ids";
 import type { SocketAddress } from "@limpetford/domain/vm";
-import { FORWARDED_HEADER } from "@limpetford/peer/fleet_calls";
+import { FORWARDED_HEADER } from "@limpetford/peer/call_protocol";
 
 import {
   FORWARDED_RESULT,
--- a/packages/entry/src/serving/caller_exchange.ts
+++ b/packages/entry/src/serving/caller_exchange.ts
@@ -4,7 +4,7 @@
 
 import type { RandomSource } from "@limpetford/core/time/random_source";
 import type { RequestId } from "@limpetford/domain/ids";
-import { FORWARDED_HEADER } from "@limpetford/peer/fleet_calls";
+import { FORWARDED_HEADER } from "@limpetford/peer/call_protocol";
 
 import {
   FORWARDED_RESULT,
--- a/packages/peer/src/call_exceptions_test.ts
+++ b/packages/peer/src/call_exceptions_test.ts
@@ -1,7 +1,8 @@
 // Guards against one call between VMs that ends the process of either side.
 
 import { generateLoopbackHost } from "./fakes/loopback_host.ts";
-import { FleetCallClient, FleetCallServer } from "./fleet_calls.ts";
+import { FleetCallServer } from "./fleet_call_server.ts";
+import { FleetCallClient } from "./fleet_calls.ts";
 import type { TokenReply } from "./fleet_sync.ts";
 
 const PORT = 18_000;
--- a/packages/peer/src/call_names_test.ts
+++ b/packages/peer/src/call_names_test.ts
@@ -2,11 +2,8 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 
-import {
-  CALL_COMPRESSION,
-  FleetCallClient,
-  FORWARDED_HEADER,
-} from "./fleet_calls.ts";
+import { FORWARDED_HEADER } from "./call_protocol.ts";
+import { CALL_COMPRESSION, FleetCallClient } from "./fleet_calls.ts";
 import type { EvidenceNotice, SyncMessage } from "./fleet_sync.ts";
 import { COMPRESSED_ENCODING, MESSAGE_DICTIONARY } from "./message_codec.ts";
 
--- a/packages/peer/src/fleet_calls_test.ts
+++ b/packages/peer/src/fleet_calls_test.ts
@@ -9,11 +9,8 @@
 
 import { CallTraffic } from "./call_traffic.ts";
 import { generateLoopbackHost } from "./fakes/loopback_host.ts";
-import {
-  CALL_COMPRESSION,
-  FleetCallClient,
-  FleetCallServer,
-} from "./fleet_calls.ts";
+import { FleetCallServer } from "./fleet_call_server.ts";
+import { CALL_COMPRESSION, FleetCallClient } from "./fleet_calls.ts";
 
 const TIMEOUT_MS = 2_000;
 const PORT = 18_000;
--- a/packages/peer/src/malformed_message_test.ts
+++ b/packages/peer/src/malformed_message_test.ts
@@ -5,7 +5,8 @@
 import type { AddressInfo } from "node:net";
 
 import { generateLoopbackHost } from "./fakes/loopback_host.ts";
-import { FleetCallClient, FleetCallServer } from "./fleet_calls.ts";
+import { FleetCallServer } from "./fleet_call_server.ts";
+import { FleetCallClient } from "./fleet_calls.ts";
 import type { SyncMessage } from "./fleet_sync.ts";
 
 const TIMEOUT_MS = 2_000;
--- a/packages/peer/src/unknown_kinds_test.ts
+++ b/packages/peer/src/unknown_kinds_test.ts
@@ -1,5 +1,6 @@
 import { generateLoopbackHost } from "./fakes/loopback_host.ts";
-import { FleetCallClient, FleetCallServer } from "./fleet_calls.ts";
+import { FleetCallServer } from "./fleet_call_server.ts";
+import { FleetCallClient } from "./fleet_calls.ts";
 import type { EvidenceNotice, SyncMessage } from "./fleet_sync.ts";
 
 const PORT = 18_000;
