fix: a body in short chunks is held by its bytes

What callers saw: 503 "busy" for a body in chunks of a byte from about 30 KB on, at a VM with nothing else to do. Chunks of any size are inside the users' limits.

Cause: each chunk was kept as a buffer of its own, counted with 384 bytes, so that a body of 1 MB asked for 384 MB of a budget of 27 MB.

Change: chunks are joined (PendingBody, as for responses), and a body counts by its bytes. A body of 1,000,000 bytes in chunks of a byte is read, and holds less than as many bytes of heap.

--- a/packages/entry/src/serving/request_body.ts
+++ b/packages/entry/src/serving/request_body.ts
@@ -5,13 +5,9 @@
 import { makeError, makeOk, type Result } from "@limpetford/domain/result";
 
 import type { MemoryShare } from "./memory_budget.ts";
+import { PendingBody } from "./pending_body.ts";
 import { type Refusal, refuseNotRun } from "./refusal.ts";
 
-/** Memory of a chunk of a body besides its bytes. */
-const CHUNK_OVERHEAD_BYTES = 384;
-/** Chunks of a body that do not count besides their bytes. */
-const UNCOUNTED_CHUNKS = 8;
-
 /** Limits the memory that buffered request bodies take on one VM. */
 export class BodyBudget {
   readonly #limitBytes: number;
@@ -125,7 +121,8 @@
     return Promise.resolve(makeError(refuseNotRun("vm-busy")));
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const blocks: Buffer[] = [];
+    const pending = new PendingBody();
     let receivedBytes = 0;
     let reservedBytes = announced ?? 0;
     const timer = setTimeout(() => {
@@ -134,20 +131,19 @@
     const handleChunk = (chunk: Buffer): void => {
       receivedBytes += chunk.length;
       const unreservedBytes = Math.max(0, receivedBytes - reservedBytes);
-      const overheadBytes = chunks.length < UNCOUNTED_CHUNKS
-        ? 0
-        : CHUNK_OVERHEAD_BYTES;
-      const extraBytes = unreservedBytes + overheadBytes;
       if (receivedBytes > limitBytes) {
         complete("body-too-large");
       } else if (
-        extraBytes > 0 &&
-        (!memory.reserve(extraBytes) || !budget.reserve(unreservedBytes))
+        unreservedBytes > 0 &&
+        (!memory.reserve(unreservedBytes) || !budget.reserve(unreservedBytes))
       ) {
         complete("vm-busy");
       } else {
         reservedBytes = Math.max(reservedBytes, receivedBytes);
-        chunks.push(chunk);
+        const block = pending.add(chunk);
+        if (block !== undefined) {
+          blocks.push(block);
+        }
       }
     };
     const handleEnd = (): void => {
@@ -162,7 +158,10 @@
       request.off("end", handleEnd);
       request.off("close", handleClose);
       if (problem === undefined) {
-        const bytes = chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+        const last = pending.take();
+        const bytes = blocks.length === 0
+          ? last ?? Buffer.alloc(0)
+          : Buffer.concat(last === undefined ? blocks : [...blocks, last]);
         resolve(makeOk({ bytes, reservedBytes }));
         return;
       }
