fix: requests that were sent ahead are parsed one after another

What callers saw: their VM ended. Bodies in chunks of a byte did the same, and at the address of readiness took the whole event loop: nobody was answered for 30 s.

Cause: Node's HTTP server parses all that a read brings at once (64 KB, some 1,500 short requests), makes a request and a response of each before any budget counts it, and keeps the responses behind the first that isn't taken. It stops reading only between two reads. And each chunk of a byte costs a turn of the parser, 10,000 in a read, for each of the connections in the same turn of the loop.

Change: what a connection brings goes to the parser in parts that end behind a head (ConnectionInput). A request that was sent ahead is parsed when the one before it has been answered, so a connection has two open requests at most; until then it is read 16 KB further, so that its end is still noticed. Parts are shared out over the turns of the loop as for backend servers (ParseTurns): a message of many parts waits its turn, whoever got none in a turn goes first in the next. All connections may keep 16 MB of requests sent ahead between them; one that doesn't fit is closed. The time that a request waited behind another one counts as unread, so that servers get no more time than its caller has. The servers for readiness, directory and metrics close a connection on which a body follows.

--- a/packages/entry/src/command/fleet_command.ts
+++ b/packages/entry/src/command/fleet_command.ts
@@ -13,6 +13,7 @@
   loadFleetSettings,
 } from "../fleet/fleet_settings.ts";
 import { FleetVm } from "../fleet/fleet_vm.ts";
+import { InputLimiter } from "../http/input_limiter.ts";
 import { formatSettingsError } from "../settings/settings_error.ts";
 import { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import { SystemClock } from "../vm/system_clock.ts";
@@ -97,6 +98,7 @@
       log,
       metrics,
       heapLimitBytes: getHeapStatistics().heap_size_limit,
+      inputs: new InputLimiter(clock),
       exceptions: new FleetExceptions(log, metrics),
     });
     await startUnlessThrown(vm, exceptions);
--- a/packages/entry/src/fleet/directory_server.ts
+++ b/packages/entry/src/fleet/directory_server.ts
@@ -11,6 +11,8 @@
   renderDirectoryResponse,
 } from "@limpetford/platform/store/directory_call";
 
+import { refuseBody } from "../http/close_behind_body.ts";
+import type { InputLimiter } from "../http/input_limiter.ts";
 import {
   type ContainedExceptions,
   EXCEPTION_SOURCE,
@@ -48,17 +50,26 @@
 export class DirectoryServer {
   readonly #source: DirectorySource;
   readonly #exceptions: ContainedExceptions;
+  readonly #inputs: InputLimiter;
   readonly #servers: http.Server[] = [];
 
   /**
    * Creates a server that does not listen yet.
    *
    * @param source - supplies the data of the responses
-   * @param exceptions - receives what a request throws; its connection ends
+   * @param options - receives what a request throws, whose connection ends; bounds
+   * what clients send
    */
-  constructor(source: DirectorySource, exceptions: ContainedExceptions) {
+  constructor(
+    source: DirectorySource,
+    { exceptions, inputs }: {
+      readonly exceptions: ContainedExceptions;
+      readonly inputs: InputLimiter;
+    },
+  ) {
     this.#source = source;
     this.#exceptions = exceptions;
+    this.#inputs = inputs;
   }
 
   /**
@@ -83,6 +94,7 @@
       { keepAliveTimeout: IDLE_TIMEOUT_MS, requireHostHeader: false },
       (request, response) => {
         try {
+          refuseBody(request, response);
           this.#handleCall(request.url ?? "/", response);
         } catch (error) {
           this.#exceptions.report(EXCEPTION_SOURCE.directory, error);
@@ -90,6 +102,7 @@
         }
       },
     );
+    this.#inputs.enforce(server);
     this.#servers.push(server);
     return new Promise((resolve, reject) => {
       server.once("error", reject);
--- a/packages/entry/src/fleet/directory_server_test.ts
+++ b/packages/entry/src/fleet/directory_server_test.ts
@@ -1,6 +1,8 @@
+import { FakeClock } from "@limpetford/core/time/fake_clock";
 import { generateLoopbackHost } from "@limpetford/peer/fakes/loopback_host";
 
 import { CollectedExceptions } from "../fakes/collected_exceptions.ts";
+import { InputLimiter } from "../http/input_limiter.ts";
 import { DirectoryServer, DirectorySource } from "./directory_server.ts";
 
 const PORT = 18_003;
@@ -20,7 +22,10 @@
 describe("DirectoryServer", () => {
   it("ends only the connection that an exception comes from", async () => {
     const exceptions = new CollectedExceptions();
-    const server = new DirectoryServer(new ThrowingSource(), exceptions);
+    const server = new DirectoryServer(new ThrowingSource(), {
+      exceptions,
+      inputs: new InputLimiter(new FakeClock()),
+    });
     const host = generateLoopbackHost();
     await server.start([{ host, port: PORT }]);
     const origin = `http://${host}:${PORT}`;
--- a/packages/entry/src/fleet/fleet_caller_server.ts
+++ b/packages/entry/src/fleet/fleet_caller_server.ts
@@ -5,6 +5,7 @@
 
 import { PlatformDialect } from "../dialect/platform_dialect.ts";
 import { CallerServer } from "../http/caller_server.ts";
+import type { InputLimiter } from "../http/input_limiter.ts";
 import { computeHeldLimitBytes } from "../serving/memory_budget.ts";
 import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
@@ -39,6 +40,7 @@
   readonly guard: CrashGuard;
   readonly metrics: PrometheusMetrics;
   readonly exceptions: ContainedExceptions;
+  readonly inputs: InputLimiter;
   /** Size up to which the heap of the process may grow. */
   readonly heapLimitBytes: number;
 }
--- a/packages/entry/src/fleet/fleet_exchange.ts
+++ b/packages/entry/src/fleet/fleet_exchange.ts
@@ -11,6 +11,7 @@
   SyncMessage,
 } from "@limpetford/peer/fleet_sync";
 
+import type { InputLimiter } from "../http/input_limiter.ts";
 import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { FleetContacts } from "./fleet_contacts.ts";
@@ -51,6 +52,8 @@
 export interface FleetExchangeOptions extends SyncMessagesOptions {
   readonly client: FleetCallClient;
   readonly loop: EventLoopMonitor;
+  /** Bounds what is sent to the peer address. */
+  readonly inputs: InputLimiter;
   /** Receives what calls and ticks throw; the next ones follow. */
   readonly exceptions: ContainedExceptions;
   /** Peer addresses to call while no other VM is known. */
@@ -117,7 +120,12 @@
         options.tokenIssuer.handleReport(report);
       },
       handleForwarded: options.handleForwarded,
-    }, options.exceptions.buildHandler("peer"));
+    }, {
+      handleException: options.exceptions.buildHandler("peer"),
+      prepareServer: (server) => {
+        options.inputs.enforce(server);
+      },
+    });
   }
 
   /**
--- a/packages/entry/src/fleet/fleet_exchange_test.ts
+++ b/packages/entry/src/fleet/fleet_exchange_test.ts
@@ -14,6 +14,7 @@
 import { CollectedExceptions } from "../fakes/collected_exceptions.ts";
 import { buildEmptyConfiguration } from "../fakes/empty_configuration.ts";
 import { ExchangeSide } from "../fakes/exchange_side.ts";
+import { InputLimiter } from "../http/input_limiter.ts";
 import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
 import { resolvePort } from "../vm/free_port.ts";
 import { SystemClock } from "../vm/system_clock.ts";
@@ -86,6 +87,7 @@
     handleForwarded: () => undefined,
     exceptions,
     client,
+    inputs: new InputLimiter(clock),
     loop: new EventLoopMonitor(clock),
     clock,
     seeds: seeds.filter((seed) => seed !== peerAddress),
--- a/packages/entry/src/fleet/fleet_vm.ts
+++ b/packages/entry/src/fleet/fleet_vm.ts
@@ -8,6 +8,7 @@
 import { StoreClient } from "@limpetford/platform/store/store_client";
 
 import type { CallerServer } from "../http/caller_server.ts";
+import type { InputLimiter } from "../http/input_limiter.ts";
 import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
 import type { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import { EventLoopMonitor } from "../vm/event_loop_monitor.ts";
@@ -64,6 +65,8 @@
   /** Size up to which the heap of the process may grow. */
   readonly heapLimitBytes: number;
   readonly exceptions: ContainedExceptions;
+  /** Bounds what is sent to the servers of this VM. */
+  readonly inputs: InputLimiter;
 }
 
 /**
@@ -132,7 +135,7 @@
     const probe = new GuardedConnectProbe(new TcpConnectProbe(), exceptions);
     this.#directory = new DirectoryServer(
       new FleetDirectory({ self, state, peers: this.#peers, clock }),
-      exceptions,
+      dependencies,
     );
     this.#crashes = new CrashProtection({
       ...dependencies,
@@ -219,6 +222,7 @@
       },
     });
     this.#exchange = new FleetExchange({
+      ...dependencies,
       self,
       state,
       peers: this.#peers,
@@ -232,10 +236,7 @@
         this.#callerServer.acceptForwarded(request, response);
       },
       client: this.#calls,
-      exceptions,
       loop: this.#loop,
-      clock,
-      log,
       seeds: otherSeeds,
     });
     this.#router.setFailureListener(() => {
@@ -285,7 +286,7 @@
         callerServer: this.#callerServer,
       });
       this.#crashes.addGauges(metrics);
-      await metrics.start(metricsAddress, exceptions);
+      await metrics.start(metricsAddress, this.#dependencies);
     }
     await this.#directory.start([directoryAddress, readyAddress]);
     await this.#callerServer.start();
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -32,6 +32,7 @@
 } from "./caller_server_limits.ts";
 import { closeServer } from "./close_server.ts";
 import { EarlyRefuser, type UnservedRequest } from "./early_refuser.ts";
+import { InputLimiter, type ServerInputs } from "./input_limiter.ts";
 import { OpenExchanges } from "./open_exchanges.ts";
 
 const DEFAULT_LINGER_MS = 0;
@@ -48,6 +49,7 @@
   readonly #ports: ServingPorts;
   readonly #options: CallerServerOptions;
   readonly #server: http.Server;
+  readonly #inputs: ServerInputs;
   readonly #connections: BackendConnectionPool;
   readonly #peerConnections: BackendConnectionPool;
   readonly #pipeline: RequestPipeline;
@@ -103,6 +105,8 @@
     this.#requestIdPrefix = options.requestIdPrefix ??
       Math.floor(ports.random.sampleUniform() * 0x1_0000_0000).toString(36);
     this.#server = createHttpServer(options);
+    this.#inputs = (ports.inputs ?? new InputLimiter(ports.clock))
+      .enforce(this.#server);
     this.#earlyRefuser = new EarlyRefuser({
       clock: ports.clock,
       random: ports.random,
@@ -348,16 +352,21 @@
     forwarding: ForwardingTerms | undefined,
   ): void {
     this.#loop.observeRead();
+    const input = this.#inputs.find(request.socket);
+    const waitedMs = input?.waitedMs ?? 0;
+    const unread = this.#acceptQueue.estimateUnread(request.socket);
     const exchange = new CallerExchange(request, response, {
       id,
       receivedAtMs: this.#ports.clock.readMonotonicMs(),
       maxUnreadMs: this.#loop.maxUnreadMs,
-      ...this.#acceptQueue.estimateUnread(request.socket),
+      minUnreadMs: unread.minUnreadMs,
+      likelyUnreadMs: Math.max(unread.likelyUnreadMs, waitedMs),
       forwarding,
       random: this.#ports.random,
       dialect: this.#dialect,
       isStopping: this.#readStopping,
-      isFollowed: this.#exchanges.isFollowed,
+      isFollowed: (followed) =>
+        input?.hasWaiting === true || this.#exchanges.isFollowed(followed),
       releaseExchange: this.#exchanges.release,
     });
     this.#exchanges.track(exchange);
--- a/packages/entry/src/http/close_behind_body.ts
+++ b/packages/entry/src/http/close_behind_body.ts
@@ -1,9 +1,11 @@
 /** Closes a connection whose caller is still sending, without losing the response. */
 
-import type { IncomingMessage } from "node:http";
+import type { IncomingMessage, ServerResponse } from "node:http";
+
+import { hasBody } from "../serving/request_body.ts";
 
 /** Time in which a caller that is still sending may take its response. */
-const LINGER_MS = 1_000;
+export const LINGER_MS = 1_000;
 
 /**
  * Lets a response that is the last on its connection reach a caller that has not sent
@@ -36,3 +38,20 @@
     });
   };
 }
+
+/**
+ * Makes a response the last on its connection if its request has a body, for a server
+ * that takes none.
+ *
+ * @param request - request of Node's HTTP server
+ * @param response - response whose headers have not been sent
+ */
+export function refuseBody(
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  if (hasBody(request)) {
+    response.setHeader("connection", "close");
+    closeBehindBody(request);
+  }
+}
--- a/packages/entry/src/http/operator_server.ts
+++ b/packages/entry/src/http/operator_server.ts
@@ -7,6 +7,7 @@
 import type { SocketAddress } from "@limpetford/domain/vm";
 import * as z from "zod";
 
+import type { InputLimiter } from "./input_limiter.ts";
 import type { OperatorSource } from "./operator_source.ts";
 
 const STATUS_OK = 200;
@@ -36,9 +37,16 @@
    * Prepares a server; it listens after {@link start}.
    *
    * @param source - provides the documents and executes the commands
-   * @param address - address to listen on; port 0 takes any free port
+   * @param options - address to listen on, where port 0 takes any free port; bounds
+   * what clients send
    */
-  constructor(source: OperatorSource, address: SocketAddress) {
+  constructor(
+    source: OperatorSource,
+    { address, inputs }: {
+      readonly address: SocketAddress;
+      readonly inputs: InputLimiter;
+    },
+  ) {
     this.#source = source;
     this.#address = address;
     this.#server = http.createServer({
@@ -47,6 +55,7 @@
       this.#handle(request, response);
     });
     this.#server.maxConnections = MAX_CONNECTIONS;
+    inputs.enforce(this.#server);
   }
 
   /**
--- a/packages/entry/src/serving/parser_input.ts
+++ b/packages/entry/src/serving/parser_input.ts
@@ -3,16 +3,18 @@
 import type { Socket } from "node:net";
 
 import type { ParseTurns } from "./parse_turns.ts";
+import { measurePart, type PartLimits } from "./parser_part.ts";
 
-/** Bytes that are parsed at once. */
-const MAX_PART_BYTES = 16_384;
-/** Lines that are parsed at once; the parser makes two objects of each. */
-const MAX_PART_LINES = 256;
+/** What is parsed at once; the parser makes two objects of each line. */
+const PART_LIMITS: PartLimits = {
+  bytes: 16_384,
+  lines: 256,
+  endsAtEmptyLine: false,
+};
 /** Bytes of a head or of trailers, with what the parser's own limit leaves out. */
 const MAX_HEAD_BYTES = 65_536;
 /** Lines of a head or of trailers. */
 const MAX_HEAD_LINES = 1_024;
-const LINE_FEED = 10;
 
 /** Dependencies of a {@link ParserInput}. */
 export interface ParserInputOptions {
@@ -102,18 +104,12 @@
     if (!this.#options.turns.take(this, this.#offerMore)) {
       return null;
     }
-    const part = this.#read(Math.min(readableLength, MAX_PART_BYTES));
+    const part = this.#read(Math.min(readableLength, PART_LIMITS.bytes));
     return part === null ? null : this.#splitPart(part);
   }
 
   #splitPart(part: Buffer): Buffer {
-    let length = 0;
-    let lines = 0;
-    while (lines < MAX_PART_LINES && length < part.length) {
-      const lineEnd = part.indexOf(LINE_FEED, length);
-      lines += lineEnd < 0 ? 0 : 1;
-      length = lineEnd < 0 ? part.length : lineEnd + 1;
-    }
+    const { length, lines } = measurePart(part, PART_LIMITS);
     this.#bytes += length;
     this.#lines += lines;
     if (length < part.length) {
--- a/packages/entry/src/serving/serving_ports.ts
+++ b/packages/entry/src/serving/serving_ports.ts
@@ -4,6 +4,7 @@
 import type { RandomSource } from "@limpetford/core/time/random_source";
 
 import type { ServingDialect } from "../dialect/serving_dialect.ts";
+import type { InputLimiter } from "../http/input_limiter.ts";
 import type { ConfigurationSource } from "../ports/configuration_source.ts";
 import type { EntrySelector } from "../ports/entry_selector.ts";
 import type { IdempotencyLedger } from "../ports/idempotency_ledger.ts";
@@ -26,6 +27,8 @@
   readonly random: RandomSource;
   /** How far the event loop is behind; one of its own if absent. */
   readonly loop?: EventLoopMonitor;
+  /** Shares the HTTP parser with other servers; one of its own if absent. */
+  readonly inputs?: InputLimiter;
   /** Protocol of callers and backend servers; `NativeDialect` if absent. */
   readonly dialect?: ServingDialect;
   /** Log of decisions on requests; nothing is logged if absent. */
--- a/packages/entry/src/telemetry/prometheus_metrics.ts
+++ b/packages/entry/src/telemetry/prometheus_metrics.ts
@@ -5,6 +5,8 @@
 import type { SocketAddress } from "@limpetford/domain/vm";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
+import { refuseBody } from "../http/close_behind_body.ts";
+import type { InputLimiter } from "../http/input_limiter.ts";
 import {
   type ContainedExceptions,
   EXCEPTION_SOURCE,
@@ -129,14 +131,19 @@
    * Starts to serve `/metrics`.
    *
    * @param address - address to listen on
-   * @param exceptions - receives what a scrape throws; its connection ends
+   * @param options - receives what a scrape throws, whose connection ends; bounds
+   * what clients send
    */
   async start(
     address: SocketAddress,
-    exceptions: ContainedExceptions,
+    { exceptions, inputs }: {
+      readonly exceptions: ContainedExceptions;
+      readonly inputs: InputLimiter;
+    },
   ): Promise<void> {
     this.#exceptions = exceptions;
     const server = http.createServer((request, response) => {
+      refuseBody(request, response);
       if (request.url !== METRICS_PATH) {
         response.writeHead(STATUS_NOT_FOUND).end();
         return;
@@ -146,6 +153,7 @@
         response.destroy();
       });
     });
+    inputs.enforce(server);
     this.#server = server;
     await new Promise<void>((resolve, reject) => {
       server.once("error", reject);
--- a/packages/entry/src/telemetry/prometheus_metrics_test.ts
+++ b/packages/entry/src/telemetry/prometheus_metrics_test.ts
@@ -2,7 +2,10 @@
 // alerts depend on.
 import * as net from "node:net";
 
+import { FakeClock } from "@limpetford/core/time/fake_clock";
+
 import { CollectedExceptions } from "../fakes/collected_exceptions.ts";
+import { InputLimiter } from "../http/input_limiter.ts";
 import { resolvePort } from "../vm/free_port.ts";
 import { PrometheusMetrics } from "./prometheus_metrics.ts";
 
@@ -24,6 +27,7 @@
 }
 
 describe("PrometheusMetrics", () => {
+  const inputs = new InputLimiter(new FakeClock());
   it("renders counters, histograms and gauges", async () => {
     const metrics = new PrometheusMetrics();
     metrics.count("requests", "answer:relayed");
@@ -37,7 +41,10 @@
   it("tells a scraper of HTTP/1.0 where they end", async () => {
     const metrics = new PrometheusMetrics();
     const address = await resolvePort({ host: "127.0.0.1", port: 0 });
-    await metrics.start(address, new CollectedExceptions());
+    await metrics.start(address, {
+      exceptions: new CollectedExceptions(),
+      inputs,
+    });
     const text = await fetchMetrics(address);
     await metrics.close();
     const length = Buffer.byteLength(await metrics.render());
@@ -48,7 +55,7 @@
     const metrics = new PrometheusMetrics();
     const exceptions = new CollectedExceptions();
     const address = await resolvePort({ host: "127.0.0.1", port: 0 });
-    await metrics.start(address, exceptions);
+    await metrics.start(address, { exceptions, inputs });
     metrics.addGauge("odd", "odd value", () => {
       throw new Error("fault at a value");
     });
@@ -64,7 +71,7 @@
     const metrics = new PrometheusMetrics();
     const exceptions = new CollectedExceptions();
     const address = await resolvePort({ host: "127.0.0.1", port: 0 });
-    await metrics.start(address, exceptions);
+    await metrics.start(address, { exceptions, inputs });
     jest.spyOn(metrics, "render").mockRejectedValueOnce(new Error("odd"));
     expect(await fetchMetrics(address)).toBe("");
     expect(await fetchMetrics(address)).toContain("200 OK");
--- a/packages/entry/src/vm/entry_vm.ts
+++ b/packages/entry/src/vm/entry_vm.ts
@@ -5,6 +5,7 @@
 
 import { ENTRIES_VALID_MS } from "../components/ownership/ownership_entry_selector.ts";
 import { CallerServer } from "../http/caller_server.ts";
+import { InputLimiter } from "../http/input_limiter.ts";
 import { OperatorServer } from "../http/operator_server.ts";
 import { resolvePort } from "./free_port.ts";
 import type { VmDependencies } from "./vm_dependencies.ts";
@@ -31,7 +32,8 @@
   constructor(settings: VmSettings, parts: VmParts) {
     this.settings = settings;
     this.parts = parts;
-    this.callerServer = new CallerServer(parts.ports, {
+    const inputs = new InputLimiter(parts.ports.clock);
+    this.callerServer = new CallerServer({ ...parts.ports, inputs }, {
       address: settings.self.callerAddress,
       lingerMs: ENTRIES_VALID_MS,
       ...settings.callerLimits,
@@ -47,7 +49,10 @@
       facts,
       callerServer: this.callerServer,
     });
-    this.#operatorServer = new OperatorServer(source, settings.operatorAddress);
+    this.#operatorServer = new OperatorServer(source, {
+      address: settings.operatorAddress,
+      inputs,
+    });
   }
 
   /**
--- a/packages/peer/src/call_exceptions_test.ts
+++ b/packages/peer/src/call_exceptions_test.ts
@@ -32,7 +32,7 @@
       handleServerTokenRequest: throwFault,
       handleServerLimitReport: throwFault,
       handleForwarded: throwFault,
-    }, handleException);
+    }, { handleException });
     await server.bind(to);
   });
   afterEach(async () => {
--- a/packages/peer/src/fleet_call_server.ts
+++ b/packages/peer/src/fleet_call_server.ts
@@ -39,6 +39,14 @@
 /** Longer than the client's idle timeout, so that the client closes first. */
 const SERVER_IDLE_TIMEOUT_MS = 15_000;
 
+/** Options of a {@link FleetCallServer}. */
+export interface FleetCallServerOptions {
+  /** Receives what handlers and their replies throw; dropped by default. */
+  readonly handleException?: CallExceptionHandler;
+  /** Bounds what is sent to the server, before it listens. */
+  readonly prepareServer?: (server: http.Server) => void;
+}
+
 /** Serves the calls of the other VMs. */
 export class FleetCallServer {
   readonly #handlers: FleetSyncHandlers;
@@ -49,11 +57,12 @@
    * Creates a server that does not listen yet.
    *
    * @param handlers - handlers of the calls
-   * @param handleException - receives what handlers and their replies throw
+   * @param options - who hears of exceptions, and what bounds its input
    */
   constructor(
     handlers: FleetSyncHandlers,
-    handleException: CallExceptionHandler = dropException,
+    { handleException = dropException, prepareServer }: FleetCallServerOptions =
+      {},
   ) {
     this.#handlers = handlers;
     this.#handleException = handleException;
@@ -70,6 +79,7 @@
         });
       },
     );
+    prepareServer?.(this.#server);
   }
 
   /**
