fix: a connection whose client takes nothing of a response is closed

What callers saw: nothing yet; by reading. A client that takes nothing of its response kept its connection, and what the VM counts for it, for as long as it liked: enough of them, and everybody else is refused for want of memory.

Cause: no server had a time limit once a request had been read.

Change: each server has Node's timeout of a connection without any progress in either direction: the idle limit at the callers' address, 30 s at the others. A connection is closed by it unless its response has yet to come: one that waits for a slow backend server stays.

--- a/packages/entry/src/fleet/directory_server.ts
+++ b/packages/entry/src/fleet/directory_server.ts
@@ -102,6 +102,7 @@
         }
       },
     );
+    server.timeout = IDLE_TIMEOUT_MS;
     this.#inputs.enforce(server);
     this.#servers.push(server);
     return new Promise((resolve, reject) => {
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -205,6 +205,7 @@
   ): void {
     this.#server.headersTimeout = timeouts.headersTimeoutMs;
     this.#server.keepAliveTimeout = timeouts.keepAliveTimeoutMs;
+    this.#server.timeout = timeouts.keepAliveTimeoutMs;
   }
 
   /**
--- a/packages/entry/src/http/caller_server_limits.ts
+++ b/packages/entry/src/http/caller_server_limits.ts
@@ -22,7 +22,10 @@
   readonly headersTimeoutMs?: number;
   /** Timeout for a complete request, in milliseconds; default 60,000. */
   readonly requestTimeoutMs?: number;
-  /** Timeout of idle connections, in milliseconds; default 15,000. */
+  /**
+   * Timeout of connections that are idle, or whose callers take nothing of a
+   * response, in milliseconds; default 15,000.
+   */
   readonly keepAliveTimeoutMs?: number;
   /** Maximum number of callers' connections; default 10,000. */
   readonly maxConnections?: number;
@@ -79,6 +82,7 @@
       cert: options.tls.certificate,
       key: options.tls.privateKey,
     });
+  server.timeout = options.keepAliveTimeoutMs ?? DEFAULT_KEEP_ALIVE_TIMEOUT_MS;
   server.maxConnections = options.maxConnections ?? DEFAULT_MAX_CONNECTIONS;
   return server;
 }
--- a/packages/entry/src/http/input_limiter.ts
+++ b/packages/entry/src/http/input_limiter.ts
@@ -58,13 +58,22 @@
   }
 
   /**
-   * Bounds the input of all connections that a server accepts from now on.
+   * Bounds the input of all connections that a server accepts from now on. Closes
+   * those that take nothing of a response for the time in `server.timeout`.
    *
    * @param server - a server of Node that has not accepted connections
    * @returns the inputs of its connections
    */
   enforce(server: http.Server): ServerInputs {
     const inputs = new ServerInputs();
+    server.on("timeout", (socket: Socket) => {
+      const isAnswerAwaited = (inputs.find(socket)?.openCount ?? 0) > 0;
+      if (isAnswerAwaited && socket.writableLength === 0) {
+        socket.setTimeout(server.timeout);
+      } else {
+        socket.destroy();
+      }
+    });
     const isTls = server instanceof https.Server;
     server.on(isTls ? "secureConnection" : "connection", (socket: Socket) => {
       this.#takeOver(socket, inputs);
--- a/packages/entry/src/http/input_limiter_test.ts
+++ b/packages/entry/src/http/input_limiter_test.ts
@@ -11,6 +11,7 @@
 const HOST = "127.0.0.1";
 const AHEAD = 200;
 const HOLD_MS = 100;
+const IDLE_MS = 300;
 const SEEDS = [1, 2, 3, 4];
 const MIXED_REQUESTS = 60;
 const MAX_PIECE_BYTES = 90;
@@ -168,4 +169,27 @@
     expect(waited[0]).toBe(0);
     expect(waited[1]).toBeGreaterThanOrEqual(HOLD_MS - 1);
   });
+
+  it("closes a connection whose client takes nothing of a response", async () => {
+    server.timeout = IDLE_MS;
+    respond = (_, response) => response.end(Buffer.alloc(50_000_000));
+    const closed = new Promise((resolve) => {
+      server.on("connection", (socket) => socket.on("close", resolve));
+    });
+    const client = net.connect(port, HOST);
+    client.pause();
+    client.on("error", () => undefined);
+    client.write(buildGet(0));
+    await closed;
+    client.destroy();
+  });
+
+  it("keeps a connection whose response takes long to come", async () => {
+    server.timeout = IDLE_MS;
+    respond = (_, response) => {
+      response.setHeader("connection", "close");
+      setTimeout(() => response.end("late"), IDLE_MS * 3);
+    };
+    expect(await sendPieces(port, [buildGet(0)])).toContain("late");
+  });
 });
--- a/packages/entry/src/http/operator_server.ts
+++ b/packages/entry/src/http/operator_server.ts
@@ -17,6 +17,7 @@
 const QUARANTINE_PATH = "/.limpetford/quarantine";
 const MAX_BODY_BYTES = 65_536;
 const REQUEST_TIMEOUT_MS = 5_000;
+const IDLE_TIMEOUT_MS = 30_000;
 const MAX_CONNECTIONS = 64;
 
 const withdrawalSchema = z.strictObject({
@@ -55,6 +56,7 @@
       this.#handle(request, response);
     });
     this.#server.maxConnections = MAX_CONNECTIONS;
+    this.#server.timeout = IDLE_TIMEOUT_MS;
     inputs.enforce(this.#server);
   }
 
--- a/packages/entry/src/telemetry/prometheus_metrics.ts
+++ b/packages/entry/src/telemetry/prometheus_metrics.ts
@@ -18,6 +18,7 @@
 const METRICS_PATH = "/metrics";
 const STATUS_OK = 200;
 const STATUS_NOT_FOUND = 404;
+const IDLE_TIMEOUT_MS = 30_000;
 /**
  * Upper bounds of the histogram buckets, in seconds. They range from the
  * latency that a VM adds to the longest deadline of a request.
@@ -153,6 +154,7 @@
         response.destroy();
       });
     });
+    server.timeout = IDLE_TIMEOUT_MS;
     inputs.enforce(server);
     this.#server = server;
     await new Promise<void>((resolve, reject) => {
