fix: what is read of calls from other VMs is bounded

What callers saw: their VM ended, or used more memory than its machine has.

Cause: the server of the peer calls read any body to its end, without a limit of size or time; only what inflates was bounded, to 64 MB.

Change: a body has 4 MiB at most, all that are being read 8 MiB together, and 5 s, longer than any VM waits for a reply (1 s). The largest message of a fleet at the size to come is one of 2 MB (docs/CAPACITY.md). Each part counts 512 bytes besides its own, so that bodies in chunks of a byte don't hold more.

Open, by reading: a message of 4 MiB that is nothing but empty objects takes some 80 MB of heap when it is decoded.

--- a/packages/peer/src/fleet_call_server.ts
+++ b/packages/peer/src/fleet_call_server.ts
@@ -29,6 +29,7 @@
   decodeMessage,
   encodeMessage,
 } from "./message_codec.ts";
+import { MessageReader } from "./message_reader.ts";
 import { dropUnknownKinds } from "./unknown_kinds.ts";
 
 const STATUS_BAD_REQUEST = 400;
@@ -52,6 +53,7 @@
   readonly #handlers: FleetSyncHandlers;
   readonly #handleException: CallExceptionHandler;
   readonly #server: http.Server;
+  readonly #reader = new MessageReader();
 
   /**
    * Creates a server that does not listen yet.
@@ -79,6 +81,7 @@
         });
       },
     );
+    this.#server.timeout = SERVER_IDLE_TIMEOUT_MS;
     prepareServer?.(this.#server);
   }
 
@@ -114,7 +117,9 @@
     response.sendDate = false;
     let message: unknown;
     try {
-      message = dropUnknownKinds(await readMessage(request));
+      const body = await this.#reader.read(request);
+      const decoded = decodeMessage(body, isCompressed(request.headers));
+      message = dropUnknownKinds(decoded);
     } catch {
       // The sender aborted, or is not a VM of this fleet.
       response.writeHead(STATUS_BAD_REQUEST).end();
@@ -165,11 +170,3 @@
     }
   }
 }
-
-async function readMessage(request: http.IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) {
-    chunks.push(chunk as Buffer);
-  }
-  return decodeMessage(Buffer.concat(chunks), isCompressed(request.headers));
-}
