fix: a message of another VM is bounded by what it becomes when it is decoded

What callers saw: their VM ended. A message of 1.5 MB that is nothing but empty objects, or of 40 KB that inflates to 40 MB of them, ended it by the heap limit.

Cause: a message was bounded by its bytes alone, and by 64 MiB when it inflates, the whole heap of a VM. An object takes 56 bytes for the three that it is sent in.

Change: 4 MiB at most also when it is inflated, and 131,072 objects and arrays, counted before it is decoded (8,500 servers have a few each). A call that is refused ends its connection.

--- a/packages/peer/src/fleet_call_server.ts
+++ b/packages/peer/src/fleet_call_server.ts
@@ -122,7 +122,7 @@
       message = dropUnknownKinds(decoded);
     } catch {
       // The sender aborted, or is not a VM of this fleet.
-      response.writeHead(STATUS_BAD_REQUEST).end();
+      response.writeHead(STATUS_BAD_REQUEST, { connection: "close" }).end();
       return;
     }
     const path = Object.values(PATH).find((known) => known === request.url);
@@ -131,7 +131,7 @@
       return;
     }
     if (!REQUEST_SCHEMAS[path].safeParse(message).success) {
-      response.writeHead(STATUS_BAD_REQUEST).end();
+      response.writeHead(STATUS_BAD_REQUEST, { connection: "close" }).end();
       return;
     }
     const mayCompress =
--- a/packages/peer/src/message_codec.ts
+++ b/packages/peer/src/message_codec.ts
@@ -10,8 +10,12 @@
 /** Value of the `content-encoding` header of a compressed message. */
 export const COMPRESSED_ENCODING = `limpetford-${MESSAGE_CODEC_VERSION}`;
 
-/** Longest message that is accepted, against memory exhaustion. */
-const MAX_MESSAGE_BYTES = 64 * 1024 * 1024;
+/** Longest message that is accepted, before and after it is decompressed. */
+export const MAX_MESSAGE_BYTES = 4_194_304;
+/** Most objects and arrays of a message; each holds far more than its two bytes. */
+const MAX_CONTAINERS = 131_072;
+const OPENING_BRACE = 0x7b;
+const OPENING_BRACKET = 0x5b;
 
 /**
  * Text as it stands in nearly every message. Compression refers to it instead of
@@ -70,5 +74,17 @@
       maxOutputLength: MAX_MESSAGE_BYTES,
     })
     : bytes;
+  if (countContainers(text) > MAX_CONTAINERS) {
+    throw new RangeError("too many objects and arrays");
+  }
   return JSON.parse(text.toString("utf8")) as unknown;
 }
+
+// Those that stand in texts count as well.
+function countContainers(text: Buffer): number {
+  let count = 0;
+  for (const byte of text) {
+    count += byte === OPENING_BRACE || byte === OPENING_BRACKET ? 1 : 0;
+  }
+  return count;
+}
--- a/packages/peer/src/message_reader.ts
+++ b/packages/peer/src/message_reader.ts
@@ -2,8 +2,8 @@
 
 import type { IncomingMessage } from "node:http";
 
-/** Longest body of a call; messages of VMs are far shorter. */
-const MAX_BODY_BYTES = 4_194_304;
+import { MAX_MESSAGE_BYTES } from "./message_codec.ts";
+
 /** Memory for the bodies that are being read. */
 const MAX_READING_BYTES = 8_388_608;
 /** Memory of a part of a body besides its bytes. */
@@ -35,7 +35,8 @@
         heldBytes += addedBytes;
         this.#readingBytes += addedBytes;
         if (
-          heldBytes > MAX_BODY_BYTES || this.#readingBytes > MAX_READING_BYTES
+          heldBytes > MAX_MESSAGE_BYTES ||
+          this.#readingBytes > MAX_READING_BYTES
         ) {
           throw new Error("too many bytes");
         }
--- a/packages/standins/src/fleet/client_crowd_test.ts
+++ b/packages/standins/src/fleet/client_crowd_test.ts
@@ -1,5 +1,8 @@
 import { readdirSync } from "node:fs";
 import type { IncomingHttpHeaders } from "node:http";
+import { deflateRawSync } from "node:zlib";
+
+import { COMPRESSED_ENCODING } from "@limpetford/peer/message_codec";
 
 import { PROTOCOL_HEADER } from "../platform/protocol_names.ts";
 import type { RawResponse } from "../platform/raw_response.ts";
@@ -73,6 +76,15 @@
   return () => ({ head, repeated: buildBlock(repeated) });
 }
 
+function buildObjects(bytes: number): string {
+  return `[${"{},".repeat(bytes / 3)}{}]`;
+}
+
+function buildCall(body: string, headers = ""): string {
+  return `POST /exchange HTTP/1.1\r\n${headers}` +
+    `content-length: ${body.length}\r\n\r\n${body}`;
+}
+
 const POST = "POST /book/1 HTTP/1.1\r\n";
 const GET = "GET /read/1 HTTP/1.1\r\n";
 const READINESS = "/readiness HTTP/1.1\r\n";
@@ -169,6 +181,21 @@
       `10000\r\n${"x".repeat(BLOCK_BYTES)}\r\n`,
     ),
   },
+  {
+    name: "calls of other VMs with many objects",
+    port: VM_PORTS.peer,
+    buildBytes: () => ({ repeated: buildCall(buildObjects(1_500_000)) }),
+  },
+  {
+    name: "calls of other VMs with many objects, compressed",
+    port: VM_PORTS.peer,
+    buildBytes: () => ({
+      repeated: buildCall(
+        deflateRawSync(buildObjects(40_000_000)).toString("latin1"),
+        `content-encoding: ${COMPRESSED_ENCODING}\r\n`,
+      ),
+    }),
+  },
   {
     name: "heads of short lines without end",
     port: VM_PORTS.caller,
