fix: a status that HTTP does not know is no response

What callers saw: a status of 600 to 999 as their answer, with the server's signature. Statuses below 100, of which the users wrote (000), were not passed on here: they were taken for interim responses, and the request failed by the bytes behind them, or waited for its deadline.

Change: statuses below 100 and above 599 fail the attempt at once as malformed; 100 to 199 stay interim (response_status.ts). A request that may be repeated goes to another server, others get 502.

--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -24,11 +24,10 @@
   computeMaxResponseBytes,
   hasUnknownCoding,
 } from "./response_framing.ts";
+import { decideStatusClass, STATUS_CLASS } from "./response_status.ts";
 import type { StepGuard } from "./step_guard.ts";
 import { UnsizedBody } from "./unsized_body.ts";
 
-const FIRST_UNSUCCESSFUL_STATUS = 300;
-
 /** Dependencies of a {@link BackendAttempt}. */
 export interface BackendAttemptOptions extends ReadFlowOptions {
   readonly listener: AttemptListener;
@@ -200,7 +199,8 @@
    */
   handleResponseStart(received: ReceivedHead): void {
     const { status, headers } = received;
-    if (this.#isFinished || status < 200) {
+    const statusClass = decideStatusClass(status);
+    if (this.#isFinished || statusClass === STATUS_CLASS.interim) {
       return;
     }
     this.#firstByteAtMs = this.#clock.readMonotonicMs();
@@ -212,7 +212,7 @@
       this.#copies.begin();
       return;
     }
-    this.#isSuccess = status < FIRST_UNSUCCESSFUL_STATUS;
+    this.#isSuccess = statusClass === STATUS_CLASS.success;
     if (!checkResponseFraming(request.method, status, headers)) {
       const sentAtMs = this.#sentAtMs ?? this.#startedAtMs;
       const options = { ...this.#options, sentAtMs, guard: this.#guard };
@@ -224,8 +224,8 @@
     const isNamed = this.#connection.checkNamed(request.identity, head);
     const isProven = !this.#isSuccess || request.isProven(head);
     if (
-      owner === RESPONSE_OWNER.other || !isDelimited || !isProven ||
-      !isNamed || this.#hasHead
+      owner === RESPONSE_OWNER.other || statusClass === STATUS_CLASS.unknown ||
+      !isDelimited || !isProven || !isNamed || this.#hasHead
     ) {
       this.#reportFailure({ outcome: "cut", isMalformed: true });
       return;
--- a/packages/entry/src/serving/odd_answers_test.ts
+++ b/packages/entry/src/serving/odd_answers_test.ts
@@ -12,6 +12,8 @@
 const CODED_HEAD = "HTTP/1.1 200 OK\r\ntransfer-encoding: gzip";
 const STATUS_LINES = "HTTP/1.1 404 \r\n".repeat(70_000);
 const MAX_SCAN_MS = 500;
+/** A failure by then was not noticed by its status. */
+const STATUS_TIMEOUT_MS = 3_000;
 
 function sendText(text: string): Answer {
   return (socket) => {
@@ -40,6 +42,20 @@
   });
 });
 
+// Guards against a status that no response has, passed on with a server's signature.
+describe("BackendAttempt with a status that HTTP does not know", () => {
+  it.each(["000", "001", "099", "600", "700", "999"])(
+    "fails: %s",
+    async (status) => {
+      const end = await sendTo(
+        sendText(`HTTP/1.1 ${status} \r\ncontent-length: 4\r\n\r\nbody`),
+        { timeoutMs: STATUS_TIMEOUT_MS },
+      );
+      expect(end).toEqual({ kind: "failed", outcome: "cut" });
+    },
+  );
+});
+
 // Guards against a body that is passed on in a coding that its caller never sees.
 describe("BackendAttempt with a transfer coding besides chunks", () => {
   it.each([
--- a/packages/standins/src/fleet/invalid_status_test.ts
+++ b/packages/standins/src/fleet/invalid_status_test.ts
@@ -7,6 +7,7 @@
 import type { VmProcessHandle } from "./vm_process_handle.ts";
 
 const KEY = "key-of-dance";
+const STATUS_BAD_GATEWAY = 502;
 const STATUS_GATEWAY_TIMEOUT = 504;
 const TIMEOUT_MS = 1_500;
 /** Time after its timeout within which a request is answered. */
@@ -77,4 +78,31 @@
       expect(durationMs).toBeLessThan(TIMEOUT_MS + MAX_LATE_MS);
     }
   });
+
+  it.each(["000", "001", "099", "600", "700", "999"])(
+    "is no answer to a caller: status %s",
+    async (status) => {
+      for (const server of fleet.servers) {
+        server.chooseRawResponse = ({ headers }) => ({
+          bytes:
+            `HTTP/1.1 ${status} Odd\r\n${PROTOCOL_HEADER.signature}: s\r\n` +
+            `${PROTOCOL_HEADER.requestId}: ${
+              String(headers[PROTOCOL_HEADER.requestId])
+            }\r\ncontent-length: 4\r\n\r\nbody`,
+          end: "none",
+        });
+      }
+      const request = { path: "/book/1", key: KEY, method: "POST", body: "b" };
+      const answers = await Promise.all([
+        fleet.send(vm, { path: "/read/1", key: KEY }),
+        fleet.send(vm, request),
+      ]);
+      expect(answers.map((answer) => answer.status))
+        .toEqual([STATUS_BAD_GATEWAY, STATUS_BAD_GATEWAY]);
+      const bookings = fleet.servers.flatMap(({ received }) =>
+        received.filter(({ target }) => target === request.path)
+      );
+      expect(bookings).toHaveLength(1);
+    },
+  );
 });
