feat: connections that are closed for what their clients do are counted

limpetford_closed_connections_total by reason: "sent-ahead" for those whose requests no longer fit in the 16 MB of all, "response-untaken" for those that take nothing of a response. The first has its test now (input_limiter_test "closes connections whose requests sent ahead hold too much"). The check whether requests follow is one function for all requests again.

--- a/packages/entry/src/command/fleet_command.ts
+++ b/packages/entry/src/command/fleet_command.ts
@@ -98,7 +98,7 @@
       log,
       metrics,
       heapLimitBytes: getHeapStatistics().heap_size_limit,
-      inputs: new InputLimiter(clock),
+      inputs: new InputLimiter(clock, metrics),
       exceptions: new FleetExceptions(log, metrics),
     });
     await startUnlessThrown(vm, exceptions);
--- a/packages/entry/src/http/caller_server.ts
+++ b/packages/entry/src/http/caller_server.ts
@@ -61,6 +61,9 @@
   readonly #requestIdPrefix: string;
   // Shared by all requests, to avoid allocating closures for each of them.
   readonly #readStopping = (): boolean => this.#isStopping;
+  readonly #isFollowed = (exchange: CallerExchange): boolean =>
+    this.#inputs.find(exchange.request.socket)?.hasWaiting === true ||
+    this.#exchanges.isFollowed(exchange);
   #requestCount = 0;
   #isStopping = false;
   #isClosing = false;
@@ -353,8 +356,7 @@
     forwarding: ForwardingTerms | undefined,
   ): void {
     this.#loop.observeRead();
-    const input = this.#inputs.find(request.socket);
-    const waitedMs = input?.waitedMs ?? 0;
+    const waitedMs = this.#inputs.find(request.socket)?.waitedMs ?? 0;
     const unread = this.#acceptQueue.estimateUnread(request.socket);
     const exchange = new CallerExchange(request, response, {
       id,
@@ -366,8 +368,7 @@
       random: this.#ports.random,
       dialect: this.#dialect,
       isStopping: this.#readStopping,
-      isFollowed: (followed) =>
-        input?.hasWaiting === true || this.#exchanges.isFollowed(followed),
+      isFollowed: this.#isFollowed,
       releaseExchange: this.#exchanges.release,
     });
     this.#exchanges.track(exchange);
--- a/packages/entry/src/http/connection_input.ts
+++ b/packages/entry/src/http/connection_input.ts
@@ -36,6 +36,8 @@
   readonly discards: DiscardTurns;
   /** Memory for requests that were sent ahead, of all connections. */
   readonly aheadMemory: MemoryBudget;
+  /** Called before a connection is closed for want of that memory. */
+  readonly handleExcess: () => void;
 }
 
 type Deliver = (bytes: Buffer) => void;
@@ -235,7 +237,7 @@
 
   // A connection whose requests no longer fit is closed: it can be asked for no less.
   #setAheadBytes(bytes: number): void {
-    const { aheadMemory } = this.#options;
+    const { aheadMemory, handleExcess } = this.#options;
     if (bytes === this.#aheadBytes) {
       return;
     }
@@ -243,6 +245,7 @@
     this.#aheadBytes = bytes;
     if (!aheadMemory.reserve(bytes)) {
       this.#aheadBytes = 0;
+      handleExcess();
       this.#socket.destroy();
     }
   }
--- a/packages/entry/src/http/input_limiter.ts
+++ b/packages/entry/src/http/input_limiter.ts
@@ -8,11 +8,14 @@
 
 import { MemoryBudget } from "../serving/memory_budget.ts";
 import { ParseTurns } from "../serving/parse_turns.ts";
+import type { ServingMetrics } from "../telemetry/serving_metrics.ts";
 import { ConnectionInput } from "./connection_input.ts";
 import { DiscardTurns } from "./discard_turns.ts";
 
 /** Memory for requests that were sent ahead, of all connections of a process. */
 const AHEAD_BYTES = 16_777_216;
+/** Counts connections that are closed for what their clients do, by the reason. */
+const CLOSED_COUNTER = "closed_connections";
 
 type DataListener = (bytes: Buffer) => void;
 
@@ -44,6 +47,7 @@
 /** Shares the parser and the memory for input among all HTTP servers of a process. */
 export class InputLimiter {
   readonly #clock: Clock;
+  readonly #metrics: ServingMetrics | undefined;
   readonly #turns = new ParseTurns();
   readonly #discards = new DiscardTurns();
   readonly #aheadMemory = new MemoryBudget(AHEAD_BYTES);
@@ -52,9 +56,11 @@
    * Begins without servers.
    *
    * @param clock - measures how long input waits
+   * @param metrics - counts the connections that are closed; none by default
    */
-  constructor(clock: Clock) {
+  constructor(clock: Clock, metrics?: ServingMetrics) {
     this.#clock = clock;
+    this.#metrics = metrics;
   }
 
   /**
@@ -70,9 +76,12 @@
       const isAnswerAwaited = (inputs.find(socket)?.openCount ?? 0) > 0;
       if (isAnswerAwaited && socket.writableLength === 0) {
         socket.setTimeout(server.timeout);
-      } else {
-        socket.destroy();
+        return;
       }
+      if (isAnswerAwaited) {
+        this.#metrics?.count(CLOSED_COUNTER, "response-untaken");
+      }
+      socket.destroy();
     });
     const isTls = server instanceof https.Server;
     server.on(isTls ? "secureConnection" : "connection", (socket: Socket) => {
@@ -105,6 +114,9 @@
         turns: this.#turns,
         discards: this.#discards,
         aheadMemory: this.#aheadMemory,
+        handleExcess: () => {
+          this.#metrics?.count(CLOSED_COUNTER, "sent-ahead");
+        },
       }),
     );
   }
--- a/packages/entry/src/http/input_limiter_test.ts
+++ b/packages/entry/src/http/input_limiter_test.ts
@@ -5,6 +5,7 @@
 
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
 
+import { PrometheusMetrics } from "../telemetry/prometheus_metrics.ts";
 import { SystemClock } from "../vm/system_clock.ts";
 import { InputLimiter, type ServerInputs } from "./input_limiter.ts";
 
@@ -15,6 +16,13 @@
 const SEEDS = [1, 2, 3, 4];
 const MIXED_REQUESTS = 60;
 const MAX_PIECE_BYTES = 90;
+const MANY_CLIENTS = 400;
+/** Requests of about 60 KB together. */
+const MANY_AHEAD = 2_000;
+/** What each of them holds at least once it is no longer read. */
+const MIN_AHEAD_BYTES = 65_536;
+/** Limit of all connections together. */
+const AHEAD_BYTES = 16_777_216;
 const MAX_BODY_BYTES = 3_000;
 
 interface Received {
@@ -51,6 +59,7 @@
 describe("InputLimiter", () => {
   let server: http.Server;
   let inputs: ServerInputs;
+  let metrics: PrometheusMetrics;
   let port: number;
   let received: Received[];
   let openCount: number;
@@ -73,7 +82,8 @@
         respond(whole, response);
       });
     });
-    inputs = new InputLimiter(new SystemClock()).enforce(server);
+    metrics = new PrometheusMetrics();
+    inputs = new InputLimiter(new SystemClock(), metrics).enforce(server);
     await new Promise<void>((resolve) => {
       server.listen(0, HOST, resolve);
     });
@@ -184,6 +194,24 @@
     client.destroy();
   });
 
+  it("closes connections whose requests sent ahead hold too much", async () => {
+    respond = () => undefined;
+    const clients = Array.from({ length: MANY_CLIENTS }, () => {
+      const client = net.connect(port, HOST);
+      client.on("error", () => undefined);
+      client.write(buildGet(0).repeat(MANY_AHEAD));
+      return client;
+    });
+    const countOpen = (): number =>
+      clients.filter(({ closed }) => !closed).length;
+    while (countOpen() * MIN_AHEAD_BYTES >= AHEAD_BYTES) {
+      await new Promise((resolve) => setTimeout(resolve, HOLD_MS));
+    }
+    expect(countOpen()).toBeGreaterThan(0);
+    clients.forEach((client) => client.destroy());
+    expect(await metrics.render()).toContain('{kind="sent-ahead"}');
+  });
+
   it("keeps a connection whose response takes long to come", async () => {
     server.timeout = IDLE_MS;
     respond = (_, response) => {
--- a/packages/entry/src/vm/entry_vm.ts
+++ b/packages/entry/src/vm/entry_vm.ts
@@ -32,7 +32,7 @@
   constructor(settings: VmSettings, parts: VmParts) {
     this.settings = settings;
     this.parts = parts;
-    const inputs = new InputLimiter(parts.ports.clock);
+    const inputs = new InputLimiter(parts.ports.clock, parts.ports.metrics);
     this.callerServer = new CallerServer({ ...parts.ports, inputs }, {
       address: settings.self.callerAddress,
       lingerMs: ENTRIES_VALID_MS,
