test: long messages are parsed in turn

Of 100 connections whose messages are long, each gets a part within 100 turns, and 32 parts go in each of these.

--- a/packages/entry/src/serving/parse_turns_test.ts
+++ b/packages/entry/src/serving/parse_turns_test.ts
@@ -1,7 +1,8 @@
 import { ParseTurns } from "./parse_turns.ts";
 
 const MANY = 100;
-const MAX_PARTS = MANY + 32;
+const MAX_LONG_PARTS = 32;
+const MAX_PARTS = MANY + MAX_LONG_PARTS;
 
 // Connections that never end, parsed as the HTTP client does.
 class EndlessConnections {
@@ -10,11 +11,11 @@
   #isClosed = false;
   readonly #turns = new ParseTurns();
 
-  parse(connection: object): void {
+  parse(connection: object, isLong = false): void {
     const resume = (): void => {
-      this.parse(connection);
+      this.parse(connection, isLong);
     };
-    while (!this.#isClosed && this.#turns.take(connection, resume)) {
+    while (!this.#isClosed && this.#turns.take(connection, resume, isLong)) {
       this.#parts.push(connection);
     }
   }
@@ -63,4 +64,18 @@
       .toEqual([MANY, MANY]);
     expect(Math.max(first.length, second.length)).toBeLessThan(MAX_PARTS);
   });
+
+  it("takes few parts of long messages, and of each in its turn", async () => {
+    for (let count = 0; count < MANY; count++) {
+      connections.parse({}, true);
+    }
+    const taken = new Set<object>();
+    for (let turn = 0; turn < MANY; turn++) {
+      const parts = connections.takeParts();
+      expect(parts.length).toBeLessThanOrEqual(MAX_LONG_PARTS);
+      parts.forEach((connection) => taken.add(connection));
+      await waitForTurn();
+    }
+    expect(taken.size).toBe(MANY);
+  });
 });
