--- a/packages/entry/src/serving/odd_answers_test.ts
+++ b/packages/entry/src/serving/odd_answers_test.ts
@@ -54,6 +54,25 @@
       expect(end).toEqual({ kind: "failed", outcome: "cut" });
     },
   );
+
+  it.each(["000", "099", "600", "999"].flatMap((status) => [
+    [
+      status,
+      "in chunks",
+      "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    ],
+    [status, "without a length", "\r\nbody"],
+    [status, "without a body", "content-length: 0\r\n\r\n"],
+  ]))(
+    "fails: %s, %s",
+    async (status, _framing, rest) => {
+      const end = await sendTo(
+        (socket) => socket.end(`HTTP/1.1 ${status} \r\n${rest}`),
+        { timeoutMs: STATUS_TIMEOUT_MS },
+      );
+      expect(end?.kind).toBe("failed");
+    },
+  );
 });
 
 // Guards against a body that is passed on in a coding that its caller never sees.
