--- a/packages/core/src/evidence/attempt_sample.ts
+++ b/packages/core/src/evidence/attempt_sample.ts
@@ -39,6 +39,8 @@
   readonly firstByteMs: number | undefined;
   /** Time from the start of the attempt to its end. */
   readonly totalMs: number;
+  /** Time from the start of the attempt to its sending; absent if not sent. */
+  readonly sentAfterMs?: number | undefined;
   /** True if the connection had served a request before. */
   readonly wasConnectionReused: boolean;
   /** Size of the response. */
--- a/packages/core/src/fleet/announced_servers.ts
+++ b/packages/core/src/fleet/announced_servers.ts
@@ -17,6 +17,11 @@
 } from "./log_position.ts";
 import { RevisionLog } from "./revision_log.ts";
 import type { ServerChange, ServerChanges } from "./server_changes.ts";
+import {
+  computeRemovalRank,
+  isBeforeRemoval,
+  type ServerEntry,
+} from "./server_entry.ts";
 
 const NO_POSITION: LogPosition = { era: 0, offset: 0 };
 /**
@@ -25,17 +30,6 @@
  */
 const REMOVED_KEPT_MS = 600_000;
 
-interface ServerEntry {
-  /** Last announcement; kept after removal to detect outdated ones. */
-  last: AnnouncedServer;
-  isGone: boolean;
-  position: LogPosition;
-  /** Monotonic time of a pending removal; undefined if none is pending. */
-  removeAtMs: number | undefined;
-  /** Monotonic time at which it was removed; undefined before. */
-  goneAtMs: number | undefined;
-}
-
 /**
  * Merges announcements, removals and the states that other VMs send. Within an
  * era of the store, the log decides which state is newer. Between eras, the
@@ -121,21 +115,45 @@
    * @param id - server to remove; ignored if not announced
    * @param position - position of the removal in the log
    * @param effectiveAtMs - monotonic time at which the removal takes effect
+   * @returns true if the removal was not known
    */
   applyRemoval(
     id: ServerId,
     position: LogPosition,
     effectiveAtMs: number,
-  ): void {
+  ): boolean {
     const entry = this.#entries.get(id);
     if (
       entry === undefined || entry.isGone || entry.removeAtMs !== undefined
     ) {
-      return;
+      return false;
     }
     entry.removeAtMs = effectiveAtMs;
     entry.position = position;
     this.#revisions.record(id);
+    return true;
+  }
+
+  /**
+   * Checks whether the removal of a server is known and has not taken effect.
+   *
+   * @param id - the server
+   * @returns true while the removal is pending
+   */
+  isRemovalPending(id: ServerId): boolean {
+    return this.#entries.get(id)?.removeAtMs !== undefined;
+  }
+
+  /**
+   * Lists the servers whose pending removal is due.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns their identifiers
+   */
+  listDueRemovals(nowMs: number): readonly ServerId[] {
+    return [...this.#entries].flatMap(([id, { removeAtMs }]) =>
+      removeAtMs !== undefined && removeAtMs <= nowMs ? [id] : []
+    );
   }
 
   /**
@@ -159,19 +177,23 @@
    * @param listed - identifiers of the servers in the snapshot
    * @param end - end of the snapshot
    * @param effectiveAtMs - monotonic time at which the removals take effect
+   * @returns the servers whose removal was not known
    */
   removeUnlisted(
     listed: ReadonlySet<string>,
     end: LogPosition,
     effectiveAtMs: number,
-  ): void {
+  ): readonly ServerId[] {
     // The next record gets the end's offset and has to come after the removal.
     const lastRead = { era: end.era, offset: end.offset - 1 };
     const isNewEra = this.#eraStart?.era !== end.era;
+    const removed: ServerId[] = [];
     for (const [id, entry] of this.#entries) {
       // A record behind the end was learned from a VM that has read further.
       if (!listed.has(id) && compareLogPositions(entry.position, end) < 0) {
-        this.applyRemoval(id, lastRead, effectiveAtMs);
+        if (this.applyRemoval(id, lastRead, effectiveAtMs)) {
+          removed.push(id);
+        }
         entry.position = lastRead;
         if (isNewEra && entry.removeAtMs !== undefined) {
           // What the server wrote since the last return is lost as well.
@@ -183,6 +205,7 @@
       this.#eraStart = end;
     }
     this.markRead(end);
+    return removed;
   }
 
   /**
@@ -355,27 +378,3 @@
     ];
   }
 }
-
-// After the same announcement a removal is the later state.
-function computeRemovalRank(
-  state: Pick<ServerChange, "isGone" | "goneInMs"> & {
-    readonly removeAtMs?: number | undefined;
-  },
-): number {
-  if (state.isGone) {
-    return 2;
-  }
-  return state.goneInMs === undefined && state.removeAtMs === undefined ? 0 : 1;
-}
-
-// A copy of the store is the beginning of the log before it returned. A state
-// that it shows at a lower offset than a removal is older than the removal,
-// unless the server has started again.
-function isBeforeRemoval(
-  { server, position }: Pick<ServerChange, "server" | "position">,
-  entry: ServerEntry,
-): boolean {
-  return entry.isGone && position.era > entry.position.era &&
-    position.offset <= entry.position.offset &&
-    server.startedAtMs === entry.last.startedAtMs;
-}
--- a/packages/entry/src/fleet/log_events.ts
+++ b/packages/entry/src/fleet/log_events.ts
@@ -98,11 +98,6 @@
       offset: "number",
     },
   },
-  "server-gone": {
-    level: "info",
-    meaning: "a backend server is no longer announced in the store",
-    fields: { server: "text", offset: "number" },
-  },
   "lead-changed": {
     level: "info",
     meaning: "the VM that the callers of the zone should use has changed",
@@ -208,13 +203,14 @@
   "attempt-ended": {
     level: "info",
     meaning:
-      "an attempt at a backend server or another VM ended; it went over the connection of this number (0 if none was opened), which had carried `requestsBefore` others, and `copies` of earlier responses came before its own",
+      "an attempt at a backend server or another VM ended; it was sent `sentAfterMs` after it began (-1 if never) over the connection of this number (0 if none was opened), which had carried `requestsBefore` others, and `copies` of earlier responses came before its own",
     fields: {
       request: "text",
       attempt: "number",
       server: "text",
       outcome: "text",
       totalMs: "number",
+      sentAfterMs: "number",
       connection: "number",
       requestsBefore: "number",
       copies: "number",
--- a/packages/entry/src/fleet/placement_log.ts
+++ b/packages/entry/src/fleet/placement_log.ts
@@ -15,6 +15,9 @@
 import type { LogEventFields } from "./log_events.ts";
 import type { TokenVerdict } from "./server_token_client.ts";
 
+/** Logged in place of a time for an attempt that was not sent. */
+const NEVER_SENT = -1;
+
 /** Dependencies of a {@link PlacementLog}. */
 export interface PlacementLogOptions {
   readonly state: FleetState;
@@ -154,7 +157,7 @@
 export function describeEnd(
   { context, attempt }: PlacementRequest,
   server: string,
-  { outcome, totalMs, connection }: AttemptSample,
+  { outcome, totalMs, sentAfterMs, connection }: AttemptSample,
 ): LogEventFields["attempt-ended"] {
   return {
     request: context.id,
@@ -162,6 +165,7 @@
     server,
     outcome,
     totalMs: Math.round(totalMs),
+    sentAfterMs: Math.round(sentAfterMs ?? NEVER_SENT),
     connection: connection?.number ?? 0,
     requestsBefore: connection?.requestsBefore ?? 0,
     copies: connection?.copies ?? 0,
--- a/packages/entry/src/fleet/placement_log_test.ts
+++ b/packages/entry/src/fleet/placement_log_test.ts
@@ -15,13 +15,19 @@
     const connection = { number: 7, requestsBefore: 3, copies: 1 };
     const end = describeEnd(buildPlacementRequest("r1"), "i-1", {
       ...sample,
+      sentAfterMs: 1.2,
       connection,
     });
     expect(end).toMatchSnapshot();
   });
 
-  it("names no connection if none was opened", () => {
+  it("names no connection and no sending if none was opened", () => {
     expect(describeEnd(buildPlacementRequest("r1"), "i-1", sample))
-      .toMatchObject({ connection: 0, requestsBefore: 0, copies: 0 });
+      .toMatchObject({
+        sentAfterMs: -1,
+        connection: 0,
+        requestsBefore: 0,
+        copies: 0,
+      });
   });
 });
--- a/packages/entry/src/fleet/server_log_events.ts
+++ b/packages/entry/src/fleet/server_log_events.ts
@@ -4,6 +4,34 @@
 
 /** These events by name. */
 export const SERVER_LOG_EVENTS = {
+  "server-gone": {
+    level: "info",
+    meaning:
+      "this VM has read in the store that a backend server is no longer announced; its list was confirmed `listAgeMs` ago (none if never), and the server is used for `deferredMs` more",
+    fields: {
+      server: "text",
+      offset: "number",
+      listAgeMs: "number",
+      deferredMs: "number",
+    },
+  },
+  "removal-deferred": {
+    level: "info",
+    meaning:
+      "the VM `source` has told of a removed backend server that is still used for `forMs`",
+    fields: {
+      server: "text",
+      source: "text",
+      forMs: "number",
+      listAgeMs: "number",
+    },
+  },
+  "server-removed": {
+    level: "info",
+    meaning:
+      "the pending removal of a backend server took effect at this VM; the server is out of use",
+    fields: { server: "text", listAgeMs: "number" },
+  },
   "servers-suspected": {
     level: "info",
     meaning:
--- a/packages/entry/src/fleet/store_handlers.ts
+++ b/packages/entry/src/fleet/store_handlers.ts
@@ -203,11 +203,14 @@
     }
     this.#applyAll(records, end.era);
     state.refusedServers.keepOnly(new Set(records.map(({ key }) => key)));
-    state.servers.removeUnlisted(
+    const removed = state.servers.removeUnlisted(
       new Set(records.map(({ key }) => key)),
       end,
       this.#readRemovalMs(),
     );
+    removed.forEach((id) => {
+      this.#recordGone(id, end.offset);
+    });
     this.#notify();
   }
 
@@ -234,6 +237,7 @@
   expireRemoved(): void {
     const { state, clock } = this.#options;
     const knownUntilMs = clock.readMonotonicMs() - state.serversAgeMs;
+    this.#recordRemoved(knownUntilMs);
     if (state.servers.expireRemoved(knownUntilMs)) {
       this.#notify();
     }
@@ -264,7 +268,7 @@
       if (value === undefined) {
         state.servers.applyRemoval(id, { era, offset }, this.#readRemovalMs());
         state.refusedServers.drop(key);
-        log.record("server-gone", { server: key, offset });
+        this.#recordGone(id, offset);
         isChanged = true;
         continue;
       }
@@ -303,6 +307,26 @@
     }
   }
 
+  #recordGone(server: ServerId, offset: number): void {
+    const { state, clock, log } = this.#options;
+    log.record("server-gone", {
+      server,
+      offset,
+      listAgeMs: Math.round(state.serversAgeMs),
+      deferredMs: Math.round(this.#readRemovalMs() - clock.readMonotonicMs()),
+    });
+  }
+
+  #recordRemoved(untilMs: number): void {
+    const { state, log } = this.#options;
+    for (const server of state.servers.listDueRemovals(untilMs)) {
+      log.record("server-removed", {
+        server,
+        listAgeMs: Math.round(state.serversAgeMs),
+      });
+    }
+  }
+
   #readRemovalMs(): number {
     const nowMs = this.#options.clock.readMonotonicMs();
     return Math.max(nowMs, this.#removalsDeferredUntilMs);
@@ -310,7 +334,9 @@
 
   #notify(): void {
     const { state, clock, notifyChange } = this.#options;
-    state.servers.expireRemoved(clock.readMonotonicMs());
+    const nowMs = clock.readMonotonicMs();
+    this.#recordRemoved(nowMs);
+    state.servers.expireRemoved(nowMs);
     state.notifyListeners();
     notifyChange();
   }
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -1,6 +1,7 @@
 /** Builds and applies the messages by which VMs synchronize their state. */
 
 import { compareLogPositions } from "@limpetford/core/fleet/log_position";
+import type { ServerChange } from "@limpetford/core/fleet/server_changes";
 import { EVIDENCE } from "@limpetford/core/placement/gray_failure_estimator";
 import type { ServerEvidence } from "@limpetford/core/placement/server_evidence";
 import type { Clock } from "@limpetford/core/time/clock";
@@ -178,9 +179,13 @@
   #applyServers(message: SyncMessage, sentAtMs: number): void {
     const { state, clock } = this.#options;
     const { changes, isComplete, revision, position, ageMs } = message.servers;
+    const deferred = changes.filter(({ server, goneInMs }) =>
+      goneInMs !== undefined && !state.servers.isRemovalPending(server.id)
+    );
     if (state.servers.applyChanges(changes, clock.readMonotonicMs())) {
       state.notifyListeners();
     }
+    this.#recordDeferred(deferred, message.from);
     const peer = this.#findPeer(message);
     if (peer === undefined) {
       return;
@@ -200,6 +205,20 @@
     }
   }
 
+  #recordDeferred(deferred: readonly ServerChange[], source: string): void {
+    const { state, log } = this.#options;
+    for (const { server, goneInMs = 0 } of deferred) {
+      if (state.servers.isRemovalPending(server.id)) {
+        log.record("removal-deferred", {
+          server: server.id,
+          source,
+          forMs: Math.round(goneInMs),
+          listAgeMs: Math.round(state.serversAgeMs),
+        });
+      }
+    }
+  }
+
   #readEcho({ echo }: SyncMessage): number | undefined {
     const { startedAtMs } = this.#options.self.incarnation;
     return echo?.startedAtMs === startedAtMs ? echo.clockMs : undefined;
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -1,6 +1,7 @@
 /** Sends a request once to a backend server and reads the response. */
 
 import type { Clock } from "@limpetford/core/time/clock";
+import { computeSpanMs } from "@limpetford/core/time/time_span";
 
 import type { AttemptOutcome, AttemptSample } from "../ports/server_router.ts";
 import type { ContainedExceptions } from "../telemetry/contained_exceptions.ts";
@@ -146,14 +147,11 @@
    * @returns durations and size for the router's statistics
    */
   measureSample(outcome: AttemptOutcome): AttemptSample {
-    const firstByteMs =
-      this.#firstByteAtMs === undefined || this.#sentAtMs === undefined
-        ? undefined
-        : this.#firstByteAtMs - this.#sentAtMs;
     return {
       outcome,
-      firstByteMs,
+      firstByteMs: computeSpanMs(this.#sentAtMs, this.#firstByteAtMs),
       totalMs: this.#clock.readMonotonicMs() - this.#startedAtMs,
+      sentAfterMs: computeSpanMs(this.#startedAtMs, this.#sentAtMs),
       wasConnectionReused: this.#connectionUse.requestsBefore > 0,
       answerBytes: this.#responseBytes,
       unreadMs: this.#unsizedBody?.unreadMs,
