test: servers that have left stay in use, in four tests that fail

Two small tests show the two steps of it: a VM that reads 2,600 or 2,800 ms after its last read defers the removal by 2.3 s, though the store answers at once; and a VM whose list is 500 ms old takes over the deferral of another.

--- a/packages/entry/src/fakes/simulated_drill.ts
+++ b/packages/entry/src/fakes/simulated_drill.ts
@@ -2,7 +2,6 @@
 
 import { FakeClock } from "@limpetford/core/time/fake_clock";
 import { SeededRandomSource } from "@limpetford/core/time/random_source";
-import type { SyncMessage } from "@limpetford/peer/fleet_sync";
 import {
   buildAnnouncementDocument,
   buildConfigurationDocument,
@@ -63,7 +62,7 @@
     this.#random = new SeededRandomSource(seed);
     this.#clock.advance(10_000);
     for (let index = 0; index < VM_COUNT; index++) {
-      this.#vms.push(new SimulatedVm(index, this.#clock, 1));
+      this.#vms.push(new SimulatedVm(index, this.#clock, { startedAtMs: 1 }));
     }
     this.#publish();
     this.#store.takeCopy();
@@ -217,24 +216,10 @@
 
   #sendBothWays(a: SimulatedVm, b: SimulatedVm): void {
     if (a !== b && !a.isCut && !b.isCut) {
-      const sentAtMs = this.#readMs();
-      this.#deliver(a, b, -Infinity);
-      this.#deliver(b, a, sentAtMs);
+      a.sendBothWays(b, this.#readMs());
     }
   }
 
-  #deliver(from: SimulatedVm, to: SimulatedVm, sentAtMs: number): void {
-    const { state, peers, messages } = from.side;
-    const record = state.findVm(to.side.self.incarnation.vm);
-    const peer = record === undefined ? undefined : peers.getPeer(record);
-    const message = messages.build(peer, []);
-    // Messages cross the network as JSON.
-    to.side.messages.apply(
-      JSON.parse(JSON.stringify(message)) as SyncMessage,
-      sentAtMs,
-    );
-  }
-
   // Each version's key works only with that version.
   #checkKeys(): void {
     const nowMs = this.#readMs();
@@ -368,7 +353,8 @@
 
   #startVmAgain(): void {
     const index = this.#random.pickIndex(VM_COUNT);
-    this.#vms[index] = new SimulatedVm(index, this.#clock, this.#readMs());
+    const startedAtMs = this.#readMs();
+    this.#vms[index] = new SimulatedVm(index, this.#clock, { startedAtMs });
   }
 
   #setCut(): void {
--- a/packages/entry/src/fakes/simulated_vm.ts
+++ b/packages/entry/src/fakes/simulated_vm.ts
@@ -1,6 +1,7 @@
 /** A VM's knowledge of configuration and servers, for simulations. */
 
 import type { FakeClock } from "@limpetford/core/time/fake_clock";
+import type { SyncMessage } from "@limpetford/peer/fleet_sync";
 
 import { FleetLog } from "../fleet/fleet_log.ts";
 import type { FleetState } from "../fleet/fleet_state.ts";
@@ -14,6 +15,21 @@
 /** Time within which a withdrawn key must stop working. */
 export const REVOCATION_MS = 5_000;
 
+/** When a {@link SimulatedVm} reads the store for itself. */
+export interface SimulatedReads {
+  /** Age of the configuration at which it reads, in milliseconds. */
+  readonly configurationMaxAgeMs: number;
+  /** Age of the server list at which it reads, in milliseconds. */
+  readonly serversMaxAgeMs: number;
+}
+
+/** Options of a {@link SimulatedVm}. */
+export interface SimulatedVmOptions {
+  readonly startedAtMs: number;
+  /** By default those of the first readers of a small fleet. */
+  readonly reads?: SimulatedReads;
+}
+
 /** One VM that follows the store and exchanges messages with others. */
 export class SimulatedVm {
   readonly side: ExchangeSide;
@@ -31,13 +47,16 @@
    *
    * @param index - the VM with index 0 reads the store first
    * @param clock - shared by all VMs
-   * @param startedAtMs - wall-clock time of its start, in milliseconds
+   * @param options - wall-clock time of its start in milliseconds, and its reads
    */
-  constructor(index: number, clock: FakeClock, startedAtMs: number) {
+  constructor(
+    index: number,
+    clock: FakeClock,
+    { startedAtMs, reads = planReads(index) }: SimulatedVmOptions,
+  ) {
     const log = new FleetLog({ clock, level: "error", vm: `vm-${index}` });
     this.side = new ExchangeSide(`vm-${index}`, clock, { startedAtMs });
     this.state = this.side.state;
-    const share = index === 0 ? 0 : 0.55 + index * 0.05;
     const options = {
       state: this.state,
       clock,
@@ -45,11 +64,11 @@
       notifyChange: () => undefined,
     };
     this.configuration = new ConfigurationHandler(
-      { ...options, readMaxAgeMs: () => 2_000 * share },
+      { ...options, readMaxAgeMs: () => reads.configurationMaxAgeMs },
       400,
     );
     this.servers = new ServersHandler(
-      { ...options, readMaxAgeMs: () => 2_000 * Math.max(0.2, share) },
+      { ...options, readMaxAgeMs: () => reads.serversMaxAgeMs },
       index * 250,
     );
   }
@@ -64,4 +83,38 @@
       ? this.state.active?.configuration.version ?? -1
       : -1;
   }
+  /**
+   * Sends a message to another VM, and applies the reply.
+   *
+   * @param other - the VM that is called
+   * @param nowMs - monotonic time, in milliseconds
+   */
+  sendBothWays(other: SimulatedVm, nowMs: number): void {
+    deliverMessage(this, other, -Infinity);
+    deliverMessage(other, this, nowMs);
+  }
+}
+
+function planReads(index: number): SimulatedReads {
+  const share = index === 0 ? 0 : 0.55 + index * 0.05;
+  return {
+    configurationMaxAgeMs: 2_000 * share,
+    serversMaxAgeMs: 2_000 * Math.max(0.2, share),
+  };
+}
+
+function deliverMessage(
+  from: SimulatedVm,
+  to: SimulatedVm,
+  sentAtMs: number,
+): void {
+  const { state, peers, messages } = from.side;
+  const record = state.findVm(to.side.self.incarnation.vm);
+  const peer = record === undefined ? undefined : peers.getPeer(record);
+  const message = messages.build(peer, []);
+  // Messages cross the network as JSON.
+  to.side.messages.apply(
+    JSON.parse(JSON.stringify(message)) as SyncMessage,
+    sentAtMs,
+  );
 }
--- a/packages/entry/src/fleet/servers_handler_test.ts
+++ b/packages/entry/src/fleet/servers_handler_test.ts
@@ -70,6 +70,20 @@
     expect(countServers()).toBe(0);
   });
 
+  // Guards against a VM that takes its own lateness for an outage of the store.
+  it.each([2_400, 2_600, 2_800])(
+    "removes it immediately if this VM reads %i ms after its last read",
+    (lateMs) => {
+      for (let passedMs = 0; passedMs < lateMs; passedMs += 200) {
+        clock.advance(200);
+        handler.expireRemoved();
+      }
+      handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
+      handler.recordFreshness(clock.readMonotonicMs());
+      expect(countServers()).toBe(0);
+    },
+  );
+
   it("delays the removal of an expired server after a store outage", () => {
     clock.advance(6_000);
     handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
--- a/packages/entry/src/fleet/sync_messages_test.ts
+++ b/packages/entry/src/fleet/sync_messages_test.ts
@@ -130,6 +130,21 @@
     expect(call.configuration).toBeUndefined();
   });
 
+  // Guards against one VM whose deferral keeps a server in use at all others.
+  it("takes no deferral over if its own server list is fresh", () => {
+    b.state.servers.applyAnnouncement(SERVER, POSITION);
+    sendExchange();
+    sendExchange();
+    expect(a.state.servers.listServers()).toHaveLength(1);
+    const nowMs = clock.readMonotonicMs();
+    a.state.recordServersFreshness(nowMs - 500);
+    const removal = { era: 0, offset: 8 };
+    b.state.servers.applyRemoval(SERVER.id, removal, nowMs + 2_300);
+    sendExchange();
+    expect(b.state.servers.listServers()).toHaveLength(1);
+    expect(a.state.servers.listServers()).toHaveLength(0);
+  });
+
   it("sends each suspicion once, with the age of its crash", () => {
     recordCrash(b, ["crashing"]);
     // The first exchange makes the VMs known to each other, the second carries
