fix: a VM that is late to read the store took that for an outage

What callers saw: requests went to a server for 2.3 s more, though the VM had read that the server was gone, where drain_s is 3.

Cause: after an outage of the store, removals are deferred until running servers can have announced themselves again. An outage was told by the age of the list alone, 2,500 ms, a fixed time. When a VM reads for itself is a share of drain_s, up to 0.85 of it, and up to 250 ms more until it looks: 1.95 s where drain_s is 2, 2.8 s where it is 3. A follower whose leader was silent read at its first try, with the store well, and deferred what it read. Nobody stated how the two times relate.

Change: only a VM that could not read knows of an outage. Its list must be older than 2,500 ms, and since it was confirmed a read must have failed, or the VM must have stood still for as long, or it began with a list from VMs that could not read (ServerListAge). Answers of a store that can be read, though with an error, do not count. While drain_s is up to 3 s, a running VM tries to read within 2.8 s of an outage's beginning, before an announcement can expire of it (3 s).

Evidence: servers_handler_test read at 2,600 and 2,800 ms, red before ("Expected: 0, Received: 1"), green now. SimulatedDrill tells its VMs of reads that fail, as TopicConsumer does.

--- a/packages/entry/src/fakes/departure_drill.ts
+++ b/packages/entry/src/fakes/departure_drill.ts
@@ -80,9 +80,11 @@
       this.#removeServer();
       this.#beginTrouble();
       for (const [index, one] of this.#vms.entries()) {
-        one.vm.servers.expireRemoved();
-        this.#readIfDue(one);
-        this.#sendIfDue(one, index);
+        if (!this.#hasStopped(one)) {
+          one.vm.servers.expireRemoved();
+          this.#readIfDue(one);
+          this.#sendIfDue(one, index);
+        }
         this.#checkServers(one, index);
       }
     }
@@ -135,10 +137,11 @@
       return;
     }
     one.nextCheckAtMs = nowMs + CHECK_INTERVAL_MS;
-    if (servers.readDueInMs() > 0 || this.#hasStopped(one)) {
+    if (servers.readDueInMs() > 0) {
       return;
     }
     if (nowMs < one.troubledUntilMs) {
+      servers.recordFailure();
       one.nextCheckAtMs = nowMs + MAX_RETRY_MS;
       return;
     }
@@ -148,7 +151,7 @@
   // Leaders exchange messages with each other, any other VM with its leader.
   #sendIfDue(one: DrillVm, index: number): void {
     const nowMs = this.#readMs();
-    if (nowMs < one.nextExchangeAtMs || this.#hasStopped(one)) {
+    if (nowMs < one.nextExchangeAtMs) {
       return;
     }
     const isLeader = index < LEADER_COUNT;
--- a/packages/entry/src/fakes/simulated_drill.ts
+++ b/packages/entry/src/fakes/simulated_drill.ts
@@ -190,14 +190,21 @@
   #runVm(vm: SimulatedVm): void {
     const nowMs = this.#readMs();
     vm.servers.expireRemoved();
-    if (vm.isCut || this.#store.isAway) {
-      return;
-    }
-    if (vm.configuration.readDueInMs() <= 0) {
-      this.#store.read(vm.configuration, this.#store.configuration, nowMs);
-    }
-    if (vm.servers.readDueInMs() <= 0) {
-      this.#store.read(vm.servers, this.#store.servers, nowMs);
+    const isRefused = vm.isCut || this.#store.isAway;
+    const { configuration, servers } = this.#store;
+    for (
+      const [handler, topic] of [
+        [vm.configuration, configuration],
+        [vm.servers, servers],
+      ] as const
+    ) {
+      if (handler.readDueInMs() <= 0) {
+        if (isRefused) {
+          handler.recordFailure();
+        } else {
+          this.#store.read(handler, topic, nowMs);
+        }
+      }
     }
   }
 
--- a/packages/entry/src/fleet/fleet_state.ts
+++ b/packages/entry/src/fleet/fleet_state.ts
@@ -7,6 +7,7 @@
   type LogPosition,
 } from "@limpetford/core/fleet/log_position";
 import { RefusedEntries } from "@limpetford/core/fleet/refused_entries";
+import { ServerListAge } from "@limpetford/core/fleet/server_list_age";
 import { StoreEraTracker } from "@limpetford/core/fleet/store_era_tracker";
 import { computeVmListDigest } from "@limpetford/core/fleet/vm_list_digest";
 import type { Clock } from "@limpetford/core/time/clock";
@@ -45,6 +46,7 @@
   readonly servers = new AnnouncedServers();
   /** Entries among those of the servers that name no server. */
   readonly refusedServers = new RefusedEntries();
+  readonly serverListAge = new ServerListAge();
   readonly #vms = new Map<string, Vm>();
   readonly #eras = new StoreEraTracker();
   readonly #listeners: (() => void)[] = [];
@@ -59,7 +61,6 @@
   #vmListDigest: number | undefined;
   #areCrashingRequestsKnown = false;
   #configurationFreshAtMs = -Infinity;
-  #serversFreshAtMs = -Infinity;
 
   /**
    * Creates a view without configuration, backend servers or VMs.
@@ -95,7 +96,7 @@
    * @returns milliseconds; infinite if it never was
    */
   get serversAgeMs(): number {
-    return this.#clock.readMonotonicMs() - this.#serversFreshAtMs;
+    return this.serverListAge.computeAgeMs(this.#clock.readMonotonicMs());
   }
 
   /**
@@ -233,7 +234,7 @@
    * @param atMs - monotonic time; an earlier time than recorded has no effect
    */
   recordServersFreshness(atMs: number): void {
-    this.#serversFreshAtMs = Math.max(this.#serversFreshAtMs, atMs);
+    this.serverListAge.recordFreshness(atMs, this.#clock.readMonotonicMs());
   }
 
   /**
--- a/packages/entry/src/fleet/servers_handler_test.ts
+++ b/packages/entry/src/fleet/servers_handler_test.ts
@@ -56,6 +56,13 @@
     return state.servers.listServers().length;
   }
 
+  function runFor(forMs: number): void {
+    for (let passedMs = 0; passedMs < forMs; passedMs += 200) {
+      clock.advance(200);
+      handler.expireRemoved();
+    }
+  }
+
   it("removes a server immediately while the store is reachable", () => {
     clock.advance(400);
     handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
@@ -74,10 +81,7 @@
   it.each([2_400, 2_600, 2_800])(
     "removes it immediately if this VM reads %i ms after its last read",
     (lateMs) => {
-      for (let passedMs = 0; passedMs < lateMs; passedMs += 200) {
-        clock.advance(200);
-        handler.expireRemoved();
-      }
+      runFor(lateMs);
       handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
       handler.recordFreshness(clock.readMonotonicMs());
       expect(countServers()).toBe(0);
@@ -96,6 +100,28 @@
     expect(countServers()).toBe(0);
   });
 
+  it("delays the removal if a read has failed since the last good one", () => {
+    runFor(1_800);
+    handler.recordFailure();
+    runFor(1_200);
+    handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
+    handler.recordFreshness(clock.readMonotonicMs());
+    expect(countServers()).toBe(1);
+    runFor(2_400);
+    handler.recordFreshness(clock.readMonotonicMs());
+    expect(countServers()).toBe(0);
+  });
+
+  it("delays no removal for a failure before the last good read", () => {
+    handler.recordFailure();
+    runFor(200);
+    handler.recordFreshness(clock.readMonotonicMs());
+    runFor(2_800);
+    handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
+    handler.recordFreshness(clock.readMonotonicMs());
+    expect(countServers()).toBe(0);
+  });
+
   it("keeps an expired server that has announced itself again", () => {
     clock.advance(6_000);
     handler.applyRecords([buildRecord(1, undefined)], { era: 0, offset: 2 });
--- a/packages/entry/src/fleet/store_handlers.ts
+++ b/packages/entry/src/fleet/store_handlers.ts
@@ -21,11 +21,6 @@
 import type { FleetState } from "./fleet_state.ts";
 import { TopicHandler } from "./topic_consumer.ts";
 
-/**
- * A server list that was not confirmed for this long shows that no VM could
- * reach the store.
- */
-const STORE_OUTAGE_MS = 2_500;
 /**
  * Time until this VM learns from another one what was written after a return of
  * the store.
@@ -230,13 +225,20 @@
     this.#options.state.recordServersFreshness(atMs);
   }
 
+  override recordFailure(): void {
+    const { state, clock } = this.#options;
+    state.serverListAge.recordFailedRead(clock.readMonotonicMs());
+  }
+
   /**
    * Removes the servers whose deferred removal is due. A VM that has heard
    * nothing since the removal was due does not know whether they are back.
    */
   expireRemoved(): void {
     const { state, clock } = this.#options;
-    const knownUntilMs = clock.readMonotonicMs() - state.serversAgeMs;
+    const nowMs = clock.readMonotonicMs();
+    state.serverListAge.observeStep(nowMs);
+    const knownUntilMs = nowMs - state.serversAgeMs;
     this.#recordRemoved(knownUntilMs);
     if (state.servers.expireRemoved(knownUntilMs)) {
       this.#notify();
@@ -246,11 +248,12 @@
   // Announcements expire while the store is unreachable, so after an outage
   // removals are deferred until running servers can have announced themselves
   // again. If only this VM could not reach the store, other VMs have kept its
-  // list fresh, and removals are not deferred.
+  // list fresh, and removals are not deferred; nor are they at a VM that is late.
   #checkStoreOutage(): void {
-    const { state } = this.#options;
-    const ageMs = state.serversAgeMs;
-    if (Number.isFinite(ageMs) && ageMs > STORE_OUTAGE_MS) {
+    const { state, clock } = this.#options;
+    const nowMs = clock.readMonotonicMs();
+    state.serverListAge.observeStep(nowMs);
+    if (state.serverListAge.isStoreOutage(nowMs)) {
       this.#setRemovalDelay(REWRITE_MS);
     }
   }
--- a/packages/entry/src/fleet/topic_consumer.ts
+++ b/packages/entry/src/fleet/topic_consumer.ts
@@ -75,6 +75,11 @@
    * @param atMs - monotonic time at which the read was sent
    */
   abstract recordFreshness(atMs: number): void;
+
+  /** Records that the store could not be read. By default this has no effect. */
+  recordFailure(): void {
+    return;
+  }
 }
 
 /** Dependencies of a {@link TopicConsumer}. */
@@ -212,6 +217,9 @@
 
   async #handleFailure(error: StoreError): Promise<void> {
     this.#failures += 1;
+    if (isUnread(error)) {
+      this.#handler.recordFailure();
+    }
     if (this.#failures === 1) {
       this.#options.log.record("store-lost", {
         topic: this.#handler.topic,
@@ -229,3 +237,8 @@
     });
   }
 }
+
+// Other errors are answers of a store that can be read.
+function isUnread({ kind }: StoreError): boolean {
+  return kind === "not-done" || kind === "no-answer";
+}
