--- a/packages/entry/src/fleet/fleet_state.ts
+++ b/packages/entry/src/fleet/fleet_state.ts
@@ -9,7 +9,7 @@
 import { RefusedEntries } from "@limpetford/core/fleet/refused_entries";
 import { ServerListAge } from "@limpetford/core/fleet/server_list_age";
 import { StoreEraTracker } from "@limpetford/core/fleet/store_era_tracker";
-import { computeVmListDigest } from "@limpetford/core/fleet/vm_list_digest";
+import { VmRecords } from "@limpetford/core/fleet/vm_records";
 import type { Clock } from "@limpetford/core/time/clock";
 import type { AnnouncedServer } from "@limpetford/domain/announced_server";
 import type { Configuration } from "@limpetford/domain/configuration";
@@ -47,7 +47,7 @@
   /** Entries among those of the servers that name no server. */
   readonly refusedServers = new RefusedEntries();
   readonly serverListAge = new ServerListAge();
-  readonly #vms = new Map<string, Vm>();
+  readonly #vms = new VmRecords();
   readonly #eras = new StoreEraTracker();
   readonly #listeners: (() => void)[] = [];
   readonly #eraListeners: ((isFirst: boolean) => void)[] = [];
@@ -58,7 +58,6 @@
   #teamByKey = new Map<KeyHash, TeamId>();
   #serversById = new Map<ServerId, AnnouncedServer>();
   #cachedConfiguration: Configuration | undefined;
-  #vmListDigest: number | undefined;
   #areCrashingRequestsKnown = false;
   #configurationFreshAtMs = -Infinity;
 
@@ -269,13 +268,7 @@
    * @returns true if this start of the VM was unknown
    */
   applyVm(vm: Vm): boolean {
-    const { vm: id, startedAtMs } = vm.incarnation;
-    const known = this.#vms.get(id);
-    if (known !== undefined && known.incarnation.startedAtMs >= startedAtMs) {
-      return false;
-    }
-    this.putVm(vm);
-    return true;
+    return this.#vms.apply(vm);
   }
 
   /**
@@ -285,8 +278,7 @@
    * @param vm - the VM's record
    */
   putVm(vm: Vm): void {
-    this.#vms.set(vm.incarnation.vm, vm);
-    this.#vmListDigest = undefined;
+    this.#vms.put(vm);
   }
 
   /**
@@ -296,7 +288,7 @@
    * @returns its record; undefined if the VM is unknown
    */
   findVm(id: VmId): Vm | undefined {
-    return this.#vms.get(id);
+    return this.#vms.find(id);
   }
 
   /**
@@ -305,8 +297,7 @@
    * @returns an unsigned integer of 32 bits; equal for equal lists
    */
   get vmListDigest(): number {
-    this.#vmListDigest ??= computeVmListDigest(this.listVms());
-    return this.#vmListDigest;
+    return this.#vms.digest;
   }
 
   /**
@@ -315,7 +306,7 @@
    * @returns their records, in the order in which the VMs became known
    */
   listVms(): readonly Vm[] {
-    return [...this.#vms.values()];
+    return this.#vms.list();
   }
 
   /**
