fix: one VM's deferral of a removal bound the whole fleet

A leader that had stood still and came back did the same to a fleet that had known of the removal all along.

Cause: a VM that comes from an outage defers removals by 2.3 s, and tells the others how long. They took that over whatever they knew themselves. A VM that has heard that the list was complete within the last seconds knows that there was no outage, so that nothing can have expired of it.

Change: the receiver decides. Its own deferral lasts until running servers can have announced themselves again after an outage that it has seen (ServerListAge), or for 6 s after a return of the store from a copy; it takes over no more than that, and with a fresh list the removal takes effect at once. Builds of before send the same message, so nothing changes for a fleet of two builds but at the new VMs.

--- a/packages/core/src/fleet/server_list_age.ts
+++ b/packages/core/src/fleet/server_list_age.ts
@@ -1,5 +1,7 @@
 /** Age of a VM's list of backend servers, and whether the store is its cause. */
 
+import { REWRITE_MS } from "./store_era_tracker.ts";
+
 /**
  * No announcement expires sooner after the beginning of an outage of the store,
  * since a server's last one is 1.5 s old at most, and holds for 4.5 s.
@@ -20,6 +22,7 @@
   /** Last time at which this VM is known to have been unable to read. */
   #missedAtMs = -Infinity;
   #steppedAtMs = Infinity;
+  #outageEndedAtMs = -Infinity;
 
   /**
    * Computes the time since the list was last confirmed as complete.
@@ -38,11 +41,15 @@
    * @param nowMs - monotonic time at which this became known, in milliseconds
    */
   recordFreshness(atMs: number, nowMs: number): void {
+    const ageMs = nowMs - atMs;
     const isFirst = !Number.isFinite(this.#freshAtMs);
-    if (isFirst && nowMs - atMs > UNTRIED_OUTAGE_MS) {
+    if (isFirst && ageMs > UNTRIED_OUTAGE_MS) {
       // The VMs that this one learns from have been unable to read.
       this.#missedAtMs = nowMs;
     }
+    if (!isFirst && ageMs <= STORE_OUTAGE_MS && this.#mayBeInOutage(nowMs)) {
+      this.#outageEndedAtMs = nowMs;
+    }
     this.#freshAtMs = Math.max(this.#freshAtMs, atMs);
   }
 
@@ -79,4 +86,23 @@
     return Number.isFinite(ageMs) && ageMs > STORE_OUTAGE_MS &&
       this.#missedAtMs > this.#freshAtMs;
   }
+
+  /**
+   * Computes for how long a removal may be deferred that another VM defers after
+   * an outage. A VM whose list was confirmed all the while knows of none.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns milliseconds until running servers have announced themselves again;
+   * infinite during an outage
+   */
+  computeMaxDeferralMs(nowMs: number): number {
+    return this.#mayBeInOutage(nowMs)
+      ? Infinity
+      : Math.max(0, this.#outageEndedAtMs + REWRITE_MS - nowMs);
+  }
+
+  #mayBeInOutage(nowMs: number): boolean {
+    return this.isStoreOutage(nowMs) ||
+      this.computeAgeMs(nowMs) > UNTRIED_OUTAGE_MS;
+  }
 }
--- a/packages/core/src/fleet/store_era_tracker.ts
+++ b/packages/core/src/fleet/store_era_tracker.ts
@@ -85,4 +85,15 @@
     const rewriteMs = this.#isUninformed ? LATE_REWRITE_MS : REWRITE_MS;
     return this.#era !== undefined && nowMs - this.#seenAtMs >= rewriteMs;
   }
+
+  /**
+   * Checks whether VMs may still defer removals since the store has returned from
+   * a copy.
+   *
+   * @param nowMs - monotonic time, in milliseconds
+   * @returns true for a while after a return
+   */
+  hasReturnedRecently(nowMs: number): boolean {
+    return nowMs - this.#seenAtMs < LATE_REWRITE_MS;
+  }
 }
--- a/packages/entry/src/fleet/fleet_state.ts
+++ b/packages/entry/src/fleet/fleet_state.ts
@@ -236,6 +236,18 @@
     this.serverListAge.recordFreshness(atMs, this.#clock.readMonotonicMs());
   }
 
+  /**
+   * Computes for how long a removal may be deferred that another VM defers.
+   *
+   * @returns milliseconds; 0 if this VM knows that the store was there throughout
+   */
+  computeMaxDeferralMs(): number {
+    const nowMs = this.#clock.readMonotonicMs();
+    return this.#eras.hasReturnedRecently(nowMs)
+      ? Infinity
+      : this.serverListAge.computeMaxDeferralMs(nowMs);
+  }
+
   /**
    * Records that a backend server has said itself that it is leaving.
    *
--- a/packages/entry/src/fleet/sync_messages.ts
+++ b/packages/entry/src/fleet/sync_messages.ts
@@ -178,7 +178,8 @@
   // not before it has read for itself what a returned store has lost.
   #applyServers(message: SyncMessage, sentAtMs: number): void {
     const { state, clock } = this.#options;
-    const { changes, isComplete, revision, position, ageMs } = message.servers;
+    const { isComplete, revision, position, ageMs } = message.servers;
+    const changes = this.#decideRemovals(message.servers.changes);
     const deferred = changes.filter(({ server, goneInMs }) =>
       goneInMs !== undefined && !state.servers.isRemovalPending(server.id)
     );
@@ -205,6 +206,22 @@
     }
   }
 
+  // A VM defers removals after an outage that only it may have seen.
+  #decideRemovals(
+    changes: readonly ServerChange[],
+  ): readonly ServerChange[] {
+    const maxDeferralMs = this.#options.state.computeMaxDeferralMs();
+    return changes.map((change) => {
+      const { server, position, goneInMs } = change;
+      if (goneInMs === undefined) {
+        return change;
+      }
+      return maxDeferralMs > 0
+        ? { ...change, goneInMs: Math.min(goneInMs, maxDeferralMs) }
+        : { server, position, isGone: true };
+    });
+  }
+
   #recordDeferred(deferred: readonly ServerChange[], source: string): void {
     const { state, log } = this.#options;
     for (const { server, goneInMs = 0 } of deferred) {
