fix: a VM that came back kept servers that all others had dropped

What callers saw: a VM that had stood still, or had lost the store, sent requests to a server for 2.3 s and up to its next turn to read after it was back, though every other VM knew that the server was gone.

Cause: it defers what it reads first, since it can't know whether there was an outage. The others know, and tell it that the server is gone, but at the same position of the log a removal that is pending counted as equally new.

Change: a removal that has taken effect at another VM ends the deferral. It can't have been due to an outage there, or the deferral has passed.

Evidence: announced_servers_test, "ends its deferral of a removal if another VM knows of none", red before ("Expected: [], Received: [a active 1000]").

--- a/packages/core/src/fleet/announced_servers.ts
+++ b/packages/core/src/fleet/announced_servers.ts
@@ -314,7 +314,8 @@
       return false;
     }
     if (era === entry.position.era) {
-      return offset > entry.position.offset;
+      return offset > entry.position.offset ||
+        (offset === entry.position.offset && isEndOfDeferral(change, entry));
     }
     if (era > entry.position.era && this.#isSinceSnapshot(change.position)) {
       return true;
@@ -378,3 +379,11 @@
     ];
   }
 }
+
+// The other VM knows that the server is not merely late to announce itself.
+function isEndOfDeferral(
+  { isGone }: Pick<ServerChange, "isGone">,
+  { removeAtMs }: Pick<ServerEntry, "removeAtMs">,
+): boolean {
+  return isGone && removeAtMs !== undefined;
+}
--- a/packages/core/src/fleet/announced_servers_test.ts
+++ b/packages/core/src/fleet/announced_servers_test.ts
@@ -206,6 +206,19 @@
     expect(from.listChangesSince(undefined, 4_000).isComplete).toBe(false);
   });
 
+  // Guards against a VM that comes back and uses a server that all others dropped.
+  it("ends its deferral of a removal if another VM knows of none", () => {
+    const [late, other] = [new AnnouncedServers(), new AnnouncedServers()];
+    for (const [servers, removeAtMs] of [[late, 2_300], [other, 0]] as const) {
+      servers.applyAnnouncement(buildServer(), { era: 0, offset: 0 });
+      servers.applyRemoval(A, { era: 0, offset: 1 }, removeAtMs);
+      servers.expireRemoved(0);
+    }
+    expect(describeAll(late)).toEqual(["a active 1000"]);
+    late.applyChanges(other.listChangesSince(0, 0).changes, 0);
+    expect(describeAll(late)).toEqual([]);
+  });
+
   // Each case: a server that drained at sequence 5 and was removed at offset 90
   // of the first era, and what a copy of the store or another VM says of it.
   describe("after a return of the store from a copy", () => {
