fix: a request was sent to a server that had left since it was chosen

What callers saw: nothing, mostly; a server that had said it was leaving got a request up to a second after the VM knew of it.

Cause: a server's state was looked at when it was chosen. Between that and the first byte lie the wait for a token of the server, the turn of the event loop, and a connect of up to a second. The age of the list at the choice and that time add up, and only the first has a bound that follows drain_s.

Change: the state is looked at again immediately before the first byte, where claims are checked as well (findDenial). A server that has left gets nothing; another one is chosen, without use of the retry budget, as after a refused connect. If there is no other, the caller is refused as not run.

--- a/packages/entry/src/fleet/placement_router.ts
+++ b/packages/entry/src/fleet/placement_router.ts
@@ -181,8 +181,9 @@
 
   override planRetry(attempt: FailedAttempt): RetryVerdict {
     const service = this.#options.balancers.find(attempt.request);
-    // No server has got a request whose connection could not be made.
+    // No server has got a request that was not sent.
     const mayRetry = attempt.sample.outcome === "connect-failed" ||
+      attempt.sample.wasSent === false ||
       service?.takeRetry() === true;
     if (!mayRetry) {
       this.#log.recordRetryDenied(attempt);
@@ -334,11 +335,12 @@
     { request }: PendingPlacement,
     { slot, grant }: GrantedSlot,
   ): Placement {
-    const { clock, guard } = this.#options;
+    const { clock, guard, state } = this.#options;
     const { announced } = slot.server;
     return {
       server: { ...announced, connections: Infinity },
       needsNewConnection: guard.isSuspect(request),
+      isServerInUse: () => !state.isServerLeaving(announced.id),
       observeNotice: (notice) => {
         this.#notices.observe(announced, notice, {
           balancer: service,
--- a/packages/entry/src/ports/server_router.ts
+++ b/packages/entry/src/ports/server_router.ts
@@ -23,6 +23,13 @@
    * the server was running when it was sent.
    */
   readonly needsNewConnection?: boolean;
+  /**
+   * Checks before the request is sent that the server has not left since it was
+   * chosen; absent if the router does not follow it.
+   *
+   * @returns false if the request must go to another server
+   */
+  readonly isServerInUse?: () => boolean;
   /**
    * Releases the slot. Must be called exactly once.
    *
--- a/packages/entry/src/serving/attempt_listener.ts
+++ b/packages/entry/src/serving/attempt_listener.ts
@@ -1,6 +1,7 @@
 /** Receives the response of an attempt, or why there is none. */
 
 import type { AttemptOutcome } from "../ports/server_router.ts";
+import type { AttemptDenial } from "./attempt_message.ts";
 import type { BackendAttempt } from "./backend_attempt.ts";
 
 /** Status and headers of a response as received. */
@@ -27,8 +28,8 @@
    * success without its proof.
    */
   readonly isMalformed: boolean;
-  /** True if `AttemptRequest.mayDispatch` returned false. */
-  readonly isDispatchDenied: boolean;
+  /** Set if the attempt ended before its first byte since it was not allowed. */
+  readonly denial: AttemptDenial | undefined;
 }
 
 /**
--- a/packages/entry/src/serving/attempt_message.ts
+++ b/packages/entry/src/serving/attempt_message.ts
@@ -27,6 +27,33 @@
   readonly verifyServer?: (() => Promise<boolean>) | undefined;
   /** Called immediately before the first byte; undefined to allow it always. */
   readonly mayDispatch: (() => boolean) | undefined;
+  /** Called before that: false if the server has left since it was chosen. */
+  readonly isServerInUse?: (() => boolean) | undefined;
+}
+
+/** Why a request is not sent, though its connection is there. */
+export const ATTEMPT_DENIAL = {
+  /** The request may not be sent to any server. */
+  dispatch: "dispatch",
+  /** It may be sent to another server. */
+  server: "server",
+} as const;
+/** One of the values in `ATTEMPT_DENIAL`. */
+export type AttemptDenial = typeof ATTEMPT_DENIAL[keyof typeof ATTEMPT_DENIAL];
+
+/**
+ * Finds out immediately before the first byte whether a request may be sent.
+ *
+ * @param request - the request of the attempt
+ * @returns why it may not be sent; undefined if it may
+ */
+export function findDenial(
+  { mayDispatch, isServerInUse }: AttemptRequest,
+): AttemptDenial | undefined {
+  if (isServerInUse?.() === false) {
+    return ATTEMPT_DENIAL.server;
+  }
+  return mayDispatch?.() === false ? ATTEMPT_DENIAL.dispatch : undefined;
 }
 
 /** Identifier that a response to an attempt bears. */
--- a/packages/entry/src/serving/attempt_series.ts
+++ b/packages/entry/src/serving/attempt_series.ts
@@ -11,6 +11,7 @@
   AttemptListener,
   type ResponseHead,
 } from "./attempt_listener.ts";
+import { ATTEMPT_DENIAL } from "./attempt_message.ts";
 import type { BackendAttempt } from "./backend_attempt.ts";
 import { buildBufferedReceiver } from "./buffering_receiver.ts";
 import {
@@ -224,12 +225,11 @@
       this.#attempts.recordUnsent();
     }
     this.#lastCause = mapFailure(failure);
-    if (failure.isDispatchDenied) {
-      this.#refuse(this.#lastCause);
-      return;
-    }
     const isNotRun = !failure.mayHaveRun;
-    if (!this.#mayAnotherFollow(attempt, { running, sample, isNotRun })) {
+    if (
+      failure.denial === ATTEMPT_DENIAL.dispatch ||
+      !this.#mayAnotherFollow(attempt, { running, sample, isNotRun })
+    ) {
       this.#refuse(this.#lastCause);
     }
   }
--- a/packages/entry/src/serving/backend_attempt.ts
+++ b/packages/entry/src/serving/backend_attempt.ts
@@ -12,7 +12,9 @@
   ReceivedHead,
 } from "./attempt_listener.ts";
 import {
+  type AttemptDenial,
   type AttemptRequest,
+  findDenial,
   findResponseOwner,
   RESPONSE_OWNER,
 } from "./attempt_message.ts";
@@ -61,7 +63,7 @@
   #isFlushScheduled = false;
   #hasEnded = false;
   #isFinished = false;
-  #isDispatchDenied = false;
+  #denial: AttemptDenial | undefined;
   #isSuccess = false;
   #isConnectionKept = true;
 
@@ -177,8 +179,8 @@
       });
       return;
     }
-    if (this.request.mayDispatch?.() === false) {
-      this.#isDispatchDenied = true;
+    this.#denial = findDenial(this.request);
+    if (this.#denial !== undefined) {
       this.#reportFailure({ outcome: "cancelled", isMalformed: false });
       return;
     }
@@ -391,7 +393,7 @@
     this.#listener.receiveFailure(this, {
       ...failure,
       mayHaveRun: this.mayHaveRun,
-      isDispatchDenied: this.#isDispatchDenied,
+      denial: this.#denial,
     });
   }
 }
--- a/packages/entry/src/serving/failure_refusals.ts
+++ b/packages/entry/src/serving/failure_refusals.ts
@@ -4,6 +4,7 @@
 
 import type { ResponseClassification } from "../dialect/serving_dialect.ts";
 import type { AttemptFailure } from "./attempt_listener.ts";
+import { ATTEMPT_DENIAL } from "./attempt_message.ts";
 import { type Refusal, type RefusalKind, refuseNotRun } from "./refusal.ts";
 
 /** Reason of a refusal, without the outcome of the request. */
@@ -19,8 +20,13 @@
  * @returns kind of the refusal, without a delay before the next try
  */
 export function mapFailure(failure: AttemptFailure): RefusalCause {
-  if (failure.isDispatchDenied) {
-    return { kind: "claim-refused" };
+  switch (failure.denial) {
+    case ATTEMPT_DENIAL.dispatch:
+      return { kind: "claim-refused" };
+    case ATTEMPT_DENIAL.server:
+      return { kind: "no-server" };
+    case undefined:
+      break;
   }
   if (failure.isMalformed) {
     return { kind: "answer-malformed" };
--- a/packages/entry/src/serving/series_attempt.ts
+++ b/packages/entry/src/serving/series_attempt.ts
@@ -102,7 +102,11 @@
       : {},
   });
   const attempt = new BackendAttempt(
-    { ...message, verifyServer: placement.verifyServer },
+    {
+      ...message,
+      verifyServer: placement.verifyServer,
+      isServerInUse: placement.isServerInUse,
+    },
     openAttemptConnection(dependencies, placement, message.identity.id),
     {
       clock: ports.clock,
