--- a/packages/core/src/fleet/announced_servers.ts
+++ b/packages/core/src/fleet/announced_servers.ts
@@ -20,6 +20,7 @@
 import {
   computeRemovalRank,
   isBeforeRemoval,
+  isEndOfDeferral,
   type ServerEntry,
 } from "./server_entry.ts";
 
@@ -379,11 +380,3 @@
     ];
   }
 }
-
-// The other VM knows that the server is not merely late to announce itself.
-function isEndOfDeferral(
-  { isGone }: Pick<ServerChange, "isGone">,
-  { removeAtMs }: Pick<ServerEntry, "removeAtMs">,
-): boolean {
-  return isGone && removeAtMs !== undefined;
-}
--- a/packages/core/src/fleet/server_entry.ts
+++ b/packages/core/src/fleet/server_entry.ts
@@ -51,3 +51,18 @@
     position.offset <= entry.position.offset &&
     server.startedAtMs === entry.last.startedAtMs;
 }
+
+/**
+ * Checks whether a state ends the deferral of a removal: the sender knows that the
+ * server is not merely late to announce itself.
+ *
+ * @param state - state that another VM has sent
+ * @param entry - what is known of the server
+ * @returns true if the server is gone there, and its removal pending here
+ */
+export function isEndOfDeferral(
+  { isGone }: Pick<ServerChange, "isGone">,
+  { removeAtMs }: Pick<ServerEntry, "removeAtMs">,
+): boolean {
+  return isGone && removeAtMs !== undefined;
+}
--- a/packages/core/src/fleet/server_list_age.ts
+++ b/packages/core/src/fleet/server_list_age.ts
@@ -1,15 +1,15 @@
-/** Age of a VM's list of backend servers, and whether the store is its cause. */
+/** Age of a VM's list of backend servers, and whether an outage explains it. */
 
 import { REWRITE_MS } from "./store_era_tracker.ts";
 
 /**
- * No announcement expires sooner after the beginning of an outage of the store,
- * since a server's last one is 1.5 s old at most, and holds for 4.5 s.
+ * Shortest outage of the store of which an announcement may expire, with a margin: a
+ * server's last one is 1.5 s old at most, and holds for 4.5 s.
  */
-export const STORE_OUTAGE_MS = 2_500;
+const STORE_OUTAGE_MS = 2_500;
 /**
- * The same for a VM that has not tried to read, and may have been about to. By then
- * it would have read if it must within three seconds.
+ * Age above which a list may be old because of an outage though no read has failed.
+ * A VM reads sooner if a server that leaves must be out of use within 3 s.
  */
 const UNTRIED_OUTAGE_MS = 3_000;
 
